--- /dev/null
+++ b/hibiscusstate/key.go
@@ -0,0 +1,142 @@
+package hibiscusstate
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// A submission key names the entry incarnation that holds the job's record. Only that incarnation ever starts tasks under
+// the key, which is what makes at-most-once hold without a durable write: another entry forwards or recovers, but never
+// starts anything.
+
+const (
+	keyPrefix   = "hr1"
+	keyMACBytes = 8
+
+	// keyWindow is the number of the latest issued keys of which an incarnation remembers whether they were used.
+	keyWindow = 1 << 22
+)
+
+// Incarnation is a random number that names one run of one process.
+type Incarnation uint64
+
+// String returns the incarnation as 16 hexadecimal digits.
+func (i Incarnation) String() string { return fmt.Sprintf("%016x", uint64(i)) }
+
+// SubmissionKey names one submission: the incarnation that issued it and a sequence number.
+type SubmissionKey struct {
+	incarnation Incarnation
+	sequence    uint64
+}
+
+// NewSubmissionKey returns the key with the given parts.
+func NewSubmissionKey(incarnation Incarnation, sequence uint64) SubmissionKey {
+	return SubmissionKey{incarnation: incarnation, sequence: sequence}
+}
+
+// Incarnation returns the entry incarnation that holds the record of the submission.
+func (k SubmissionKey) Incarnation() Incarnation { return k.incarnation }
+
+// Sequence returns the number of the key within its incarnation.
+func (k SubmissionKey) Sequence() uint64 { return k.sequence }
+
+// TaskID names one task of a submission.
+type TaskID struct {
+	key   SubmissionKey
+	index int
+}
+
+// NewTaskID returns the id of the task at index in the submission of key.
+func NewTaskID(key SubmissionKey, index int) TaskID { return TaskID{key: key, index: index} }
+
+// Key returns the submission key of the task.
+func (t TaskID) Key() SubmissionKey { return t.key }
+
+// Index returns the position of the task in its job, from zero.
+func (t TaskID) Index() int { return t.index }
+
+// KeySigner turns submission keys into texts that callers can't forge, and back.
+type KeySigner struct {
+	secret []byte
+}
+
+// NewKeySigner returns a signer; all entries of a deployment share the secret.
+func NewKeySigner(secret []byte) *KeySigner { return &KeySigner{secret: secret} }
+
+// Format returns the text form of k, hr1-INCARNATION-SEQUENCE-MAC.
+func (s *KeySigner) Format(k SubmissionKey) string {
+	return fmt.Sprintf("%s-%s-%x-%s", keyPrefix, k.incarnation, k.sequence, hex.EncodeToString(s.mac(k)))
+}
+
+// Parse returns the key of a text form, or ErrBadKey.
+func (s *KeySigner) Parse(text string) (SubmissionKey, error) {
+	parts := strings.Split(text, "-")
+	if len(parts) != 4 || parts[0] != keyPrefix {
+		return SubmissionKey{}, ErrBadKey
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return SubmissionKey{}, ErrBadKey
+	}
+	sequence, err := strconv.ParseUint(parts[2], 16, 64)
+	if err != nil {
+		return SubmissionKey{}, ErrBadKey
+	}
+	k := NewSubmissionKey(Incarnation(incarnation), sequence)
+	mac, err := hex.DecodeString(parts[3])
+	if err != nil || !hmac.Equal(mac, s.mac(k)) {
+		return SubmissionKey{}, ErrBadKey
+	}
+	return k, nil
+}
+
+func (s *KeySigner) mac(k SubmissionKey) []byte {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(k.incarnation))
+	binary.BigEndian.PutUint64(b[8:], k.sequence)
+	h := hmac.New(sha256.New, s.secret)
+	h.Write(b[:])
+	return h.Sum(nil)[:keyMACBytes]
+}
+
+// KeyWindow issues sequence numbers and remembers which of the latest ones were used.
+type KeyWindow struct {
+	next uint64
+	used []uint64
+}
+
+// NewKeyWindow returns a window that has issued nothing.
+func NewKeyWindow() *KeyWindow { return &KeyWindow{used: make([]uint64, keyWindow/64)} }
+
+// Issue returns the next unused sequence number.
+func (w *KeyWindow) Issue() uint64 {
+	sequence := w.next
+	w.next++
+	w.used[w.word(sequence)] &^= w.bit(sequence)
+	return sequence
+}
+
+// MarkUsed records the use of a sequence number and says whether it is the first; it returns ErrKeyNotIssued for a number
+// that was never issued, and ErrKeyExpired for one that left the window.
+func (w *KeyWindow) MarkUsed(sequence uint64) (first bool, err error) {
+	if sequence >= w.next {
+		return false, ErrKeyNotIssued
+	}
+	if w.next-sequence > keyWindow {
+		return false, ErrKeyExpired
+	}
+	if w.used[w.word(sequence)]&w.bit(sequence) != 0 {
+		return false, nil
+	}
+	w.used[w.word(sequence)] |= w.bit(sequence)
+	return true, nil
+}
+
+func (w *KeyWindow) word(sequence uint64) uint64 { return sequence % keyWindow / 64 }
+
+func (w *KeyWindow) bit(sequence uint64) uint64 { return 1 << (sequence % 64) }
