--- /dev/null
+++ b/hibiscuscommand/run.go
@@ -0,0 +1,107 @@
+package hibiscuscommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"hibiscusrouter/hibiscusprotocol"
+)
+
+// Exit codes, for scripts.
+const (
+	exitOK      = 0
+	exitFailed  = 1 // the command ran and its answer is a failure: a failed job, a refusal, a conflict
+	exitUsage   = 2 // flags, settings or a text are wrong; nothing was done
+	exitNoReach = 3 // a process could not be reached
+)
+
+// The errors of the command line that decide the exit code.
+var (
+	errUsage   = errors.New("usage")
+	errNoReach = errors.New("process could not be reached")
+)
+
+// environment is what a command works with.
+type environment struct {
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+func (e *environment) printf(format string, args ...any) { fmt.Fprintf(e.out, format, args...) }
+
+func (e *environment) logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(e.err, &slog.HandlerOptions{Level: slog.LevelInfo}))
+}
+
+// Run executes one command line, without the program's name, and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return RunContext(ctx, args, out, errOut)
+}
+
+// RunContext is Run with a context that stops long-running commands gracefully.
+func RunContext(ctx context.Context, args []string, out, errOut io.Writer) int {
+	env := &environment{ctx: ctx, out: out, err: errOut}
+	parser := flags.NewNamedParser("hibiscusrouter", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "dispatcher for sub-second tasks"
+	if err := addCommands(parser, env); err != nil {
+		fmt.Fprintf(errOut, "hibiscusrouter: %v\n", err)
+		return exitUsage
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err, out, errOut)
+}
+
+func exitCode(err error, out, errOut io.Writer) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(out, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		fmt.Fprintf(errOut, "hibiscusrouter: %s\nRun hibiscusrouter --help for the commands.\n", usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintf(errOut, "hibiscusrouter: %v\n", err)
+	switch {
+	case errors.Is(err, errUsage), errors.Is(err, hibiscusprotocol.ErrBadSettings), errors.Is(err, hibiscusprotocol.ErrBadText):
+		return exitUsage
+	case errors.Is(err, errNoReach):
+		return exitNoReach
+	default:
+		return exitFailed
+	}
+}
+
+// addCommands adds every command to the parser.
+func addCommands(parser *flags.Parser, env *environment) error {
+	for _, c := range []struct {
+		name  string
+		short string
+		long  string
+		data  any
+	}{
+		{"demo", "run a small deployment in one process and answer a job", demoHelp, &demoCommand{env: env}},
+		{"entry", "run an entry process", entryHelp, &entryCommand{env: env}},
+		{"agent", "run an agent process beside an endpoint", agentHelp, &agentCommand{env: env}},
+		{"platform", "run the stand-in for the platform's table service and object store", platformHelp, &platformCommand{env: env}},
+		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
+		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/hibiscuscoordination/admission.go
@@ -0,0 +1,160 @@
+package hibiscuscoordination
+
+import (
+	"fmt"
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// Admission decides at once whether a job is taken whole or refused whole. A refused job has left no trace, so that "not
+// run" is true, and its key may be used again.
+
+const (
+	// minRetryAfter is the smallest retry hint.
+	minRetryAfter = 50 * time.Millisecond
+	// noWorkersRetry is the hint while a service has no endpoint; they announce themselves every second.
+	noWorkersRetry = 250 * time.Millisecond
+	// retryFraction is the part of admitted first tries that later tries may add while tasks wait, and retryBurst how many
+	// may come at once; without it the refused callers of a surge keep it up by coming back.
+	retryFraction = 0.1
+	retryBurst    = 100.0
+)
+
+// admit returns the refusal of a submission, nil when it is taken.
+func (d *Dispatcher) admit(s *Submission) *Answer {
+	if d.draining {
+		return d.refuse(s, hibiscusstate.RefusalDraining, "this entry is stopping; ask again through the balancer", minRetryAfter)
+	}
+	if d.configuration == nil {
+		return d.refuse(s, hibiscusstate.RefusalNotReady, "this entry has no configuration yet", time.Second)
+	}
+	if refusal := d.check(s); refusal != nil {
+		return refusal
+	}
+	if refusal := d.checkWorkers(s); refusal != nil {
+		return refusal
+	}
+	if refusal := d.checkBounds(s); refusal != nil {
+		return refusal
+	}
+	if refusal := d.checkDeadline(s); refusal != nil {
+		return refusal
+	}
+	return d.checkRetry(s)
+}
+
+// check refuses what no state of the system could run.
+func (d *Dispatcher) check(s *Submission) *Answer {
+	document := d.configuration.Document()
+	service, ok := document.Service(s.service)
+	if !ok {
+		return d.refuse(s, hibiscusstate.RefusalUnknownService, fmt.Sprintf("service %q does not exist", s.service), 0)
+	}
+	if _, ok := document.Team(s.team); !ok {
+		return d.refuse(s, hibiscusstate.RefusalUnknownTeam, fmt.Sprintf("team %q does not exist", s.team), 0)
+	}
+	if len(s.tasks) == 0 {
+		return d.refuse(s, hibiscusstate.RefusalBadRequest, "a job needs at least one task", 0)
+	}
+	if len(s.tasks) > maxTasks {
+		return d.refuse(s, hibiscusstate.RefusalTooManyTasks,
+			fmt.Sprintf("a job has at most %d tasks, this one has %d", maxTasks, len(s.tasks)), 0)
+	}
+	for i, t := range s.tasks {
+		if _, ok := service.Kind(t.Kind()); !ok {
+			return d.refuse(s, hibiscusstate.RefusalUnknownKind,
+				fmt.Sprintf("task %d: service %q has no kind %q", i, s.service, t.Kind()), 0)
+		}
+	}
+	return nil
+}
+
+// checkWorkers refuses work that has nowhere to go, and work whose dependencies are down and would fail.
+func (d *Dispatcher) checkWorkers(s *Submission) *Answer {
+	if d.pool(s.service).slots == 0 {
+		return d.refuse(s, hibiscusstate.RefusalNoWorkers, fmt.Sprintf("service %q has no endpoint", s.service), noWorkersRetry)
+	}
+	service, _ := d.configuration.Document().Service(s.service)
+	for _, dependency := range service.DependsOn() {
+		if d.pool(dependency).slots == 0 {
+			return d.refuse(s, hibiscusstate.RefusalDependencyDown,
+				fmt.Sprintf("service %q needs service %q, which has no endpoint", s.service, dependency), noWorkersRetry)
+		}
+	}
+	return nil
+}
+
+// checkBounds refuses what would exceed the memory of this entry or the quota of the team.
+func (d *Dispatcher) checkBounds(s *Submission) *Answer {
+	p := d.pool(s.service)
+	if len(d.jobs)-d.finished.Len() >= maxJobs || d.bytes >= maxJobBytes || p.queue.Len()+len(s.tasks) > maxQueuedTasks {
+		return d.refuse(s, hibiscusstate.RefusalQueueFull, "this entry's queue is full", d.drainTime(p))
+	}
+	team, _ := d.configuration.Document().Team(s.team)
+	if team.MaxQueued() > 0 && p.queue.TeamLen(s.team) > 0 && p.queue.TeamLen(s.team)+len(s.tasks) > team.MaxQueued() {
+		return d.refuse(s, hibiscusstate.RefusalOverQuota,
+			fmt.Sprintf("team %q has %d tasks waiting, its quota is %d", s.team, p.queue.TeamLen(s.team), team.MaxQueued()),
+			d.drainTime(p))
+	}
+	return nil
+}
+
+// checkDeadline refuses at once what can't be in time.
+func (d *Dispatcher) checkDeadline(s *Submission) *Answer {
+	p := d.pool(s.service)
+	work := time.Duration(0)
+	longest := time.Duration(0)
+	for _, t := range s.tasks {
+		expected, _ := p.runTimes.Expect(t.Kind(), len(t.Payload()), t.Declared())
+		work += expected
+		longest = max(longest, expected)
+	}
+	capacity := d.capacity(p)
+	share := p.queue.TeamShare(s.team)
+	ahead := min(float64(p.queue.Work()), float64(p.queue.TeamWork(s.team))/share)
+	needed := time.Duration((ahead+float64(work))/capacity) + longest
+	if needed > d.budget(s) && p.queue.Len() > 0 {
+		return d.refuse(s, hibiscusstate.RefusalTooLate,
+			fmt.Sprintf("the job would be done in %d ms, its deadline is in %d ms", needed.Milliseconds(), d.budget(s).Milliseconds()),
+			max(needed-d.budget(s), minRetryAfter))
+	}
+	return nil
+}
+
+// checkRetry holds later tries to their budget while the service has more waiting tasks than slots.
+func (d *Dispatcher) checkRetry(s *Submission) *Answer {
+	p := d.pool(s.service)
+	if s.attempt <= 1 {
+		p.retries = min(p.retries+retryFraction, retryBurst)
+		return nil
+	}
+	if p.queue.Len() <= p.slots {
+		return nil
+	}
+	if p.retries < 1 {
+		return d.refuse(s, hibiscusstate.RefusalRetryBudget, "too many later tries while the service is overloaded", d.drainTime(p))
+	}
+	p.retries--
+	return nil
+}
+
+// capacity returns the number of slots that this entry can count on, at least a fair part of the service's.
+func (d *Dispatcher) capacity(p *pool) float64 {
+	return max(float64(p.slots)/float64(len(d.entries)), 1)
+}
+
+// drainTime returns how long the queue of a service needs at its present capacity.
+func (d *Dispatcher) drainTime(p *pool) time.Duration {
+	return max(time.Duration(float64(p.queue.Work())/d.capacity(p)), minRetryAfter)
+}
+
+// refuse returns a refusal that is certain to be not run; the hint is spread over twice its length, so that callers that
+// were refused together don't come back together.
+func (d *Dispatcher) refuse(s *Submission, refusal hibiscusstate.Refusal, message string, retryAfter time.Duration) *Answer {
+	a := NewRefusal(s.key, refusal, true, message)
+	if retryAfter > 0 {
+		a.WithRetryAfter(retryAfter + d.jitter(retryAfter))
+	}
+	return a
+}
--- /dev/null
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -0,0 +1,112 @@
+package hibiscuscoordination
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// What happens in a Dispatcher because time passes: deadlines, views that grow old, workers that stay away, records that
+// have been kept long enough.
+
+// Tick does what is due at now.
+func (d *Dispatcher) Tick(now time.Time) {
+	d.expireJobs(now)
+	if now.Before(d.nextTick) {
+		return
+	}
+	d.nextTick = now.Add(tickInterval)
+	for _, a := range d.workers {
+		d.ageWorker(now, a)
+	}
+	d.evict(now)
+	d.dispatchAll(now)
+}
+
+// NextTick returns when Tick has something to do.
+func (d *Dispatcher) NextTick() time.Time {
+	if len(d.deadlines) == 0 {
+		return d.nextTick
+	}
+	due := d.deadlines[0].due()
+	if due.Before(d.nextTick) {
+		return due
+	}
+	return d.nextTick
+}
+
+// due returns the deadline, and once that has passed the end of the grace for reports that are under way.
+func (r *jobRecord) due() time.Time {
+	if r.overdue {
+		return r.job.Deadline().Add(reportGrace)
+	}
+	return r.job.Deadline()
+}
+
+func (d *Dispatcher) expireJobs(now time.Time) {
+	for len(d.deadlines) > 0 && !d.deadlines[0].due().After(now) {
+		d.expireJob(now, d.deadlines[0])
+	}
+}
+
+// expireJob resolves queued tasks as not run at the deadline, and after the grace the others as possibly run.
+func (d *Dispatcher) expireJob(now time.Time, r *jobRecord) {
+	if !r.overdue {
+		r.overdue = true
+		heap.Fix(&d.deadlines, r.index)
+		d.abandonQueued(r, "the deadline passed before the task was started")
+		d.stopSent(now, r)
+		d.finish(now, r)
+		return
+	}
+	for i := range r.job.Len() {
+		t := r.job.Task(i)
+		if t.Phase() != hibiscusstate.PhaseDone {
+			d.resolve(now, d.workers[t.Worker()], t, hibiscusstate.OutcomeMayHaveRun, nil,
+				"the deadline passed while a worker had the task", 0)
+		}
+	}
+}
+
+// ageWorker forgets old reports and held slots, and gives up a worker that stayed away.
+func (d *Dispatcher) ageWorker(now time.Time, a *assignment) {
+	w := a.worker
+	if !w.Connected() {
+		if now.Sub(a.lostAt) >= unsettledLimit {
+			d.forgetWorker(now, a, "the worker was lost while it had the task")
+		}
+		return
+	}
+	w.ReleaseHolds(now)
+	d.tryAgain(now, a)
+	if now.Sub(w.ReportedAt()) > max(2*a.pool.runTimes.Usual(), tickInterval) && w.Others() > 0 {
+		// Without this a worker that was full of other entries' tasks would look full for good, because nothing is sent
+		// to it and so no report comes back.
+		w.Report(w.Others()/2, 0, now)
+	}
+	a.pool.heap.Update(w)
+}
+
+// evict forgets the oldest finished jobs that are past their time or past the bounds.
+func (d *Dispatcher) evict(now time.Time) {
+	for e := d.finished.Front(); e != nil; e = d.finished.Front() {
+		r := e.Value.(*jobRecord)
+		if now.Sub(r.job.FinishedAt()) < jobRetention && len(d.jobs) <= maxJobs && d.bytes <= maxJobBytes {
+			return
+		}
+		d.finished.Remove(e)
+		delete(d.jobs, r.job.Key())
+		d.bytes -= r.job.Bytes()
+	}
+}
+
+// Drain makes the entry refuse new submissions; what it has goes on.
+func (d *Dispatcher) Drain() { d.draining = true }
+
+// Idle says whether no job is running.
+func (d *Dispatcher) Idle() bool { return len(d.deadlines) == 0 }
+
+func hibiscusstateIsExpired(err error) bool { return errors.Is(err, hibiscusstate.ErrKeyExpired) }
--- /dev/null
+++ b/hibiscuscoordination/event.go
@@ -0,0 +1,76 @@
+package hibiscuscoordination
+
+import (
+	"hibiscusrouter/hibiscusstate"
+)
+
+// Event is something that operators should find in the audit trail.
+type Event struct {
+	kind    hibiscusstate.EventKind
+	subject string
+	cause   string
+}
+
+// NewEvent returns an event about a subject, with its cause in one short sentence.
+func NewEvent(kind hibiscusstate.EventKind, subject, cause string) Event {
+	return Event{kind: kind, subject: subject, cause: cause}
+}
+
+// NewWorkerEvent returns an event about a worker.
+func NewWorkerEvent(kind hibiscusstate.EventKind, w *hibiscusstate.Worker, cause string) Event {
+	return NewEvent(kind, w.Service()+"/"+w.Address(), cause)
+}
+
+// Kind returns what happened.
+func (e Event) Kind() hibiscusstate.EventKind { return e.kind }
+
+// Subject returns the process or worker that it happened to.
+func (e Event) Subject() string { return e.subject }
+
+// Cause returns why it happened.
+func (e Event) Cause() string { return e.cause }
+
+// Counters are the running totals of one entry's decisions.
+type Counters struct {
+	jobs       uint64
+	tasks      uint64
+	sent       uint64
+	moves      uint64
+	messages   uint64
+	jobStates  [hibiscusstate.JobCancelled + 1]uint64
+	outcomes   [hibiscusstate.OutcomeStopped + 1]uint64
+	refusals   [hibiscusstate.RefusalOutcomeUnknown + 1]uint64
+	rejections [hibiscusstate.RejectionExpired + 1]uint64
+}
+
+// Jobs returns the number of admitted jobs.
+func (c Counters) Jobs() uint64 { return c.jobs }
+
+// Tasks returns the number of admitted tasks.
+func (c Counters) Tasks() uint64 { return c.tasks }
+
+// Sent returns how many times a task was given to a worker.
+func (c Counters) Sent() uint64 { return c.sent }
+
+// Moves returns how many times a task came back as not run and went on to another worker.
+func (c Counters) Moves() uint64 { return c.moves }
+
+// Messages returns the number of messages sent to workers.
+func (c Counters) Messages() uint64 { return c.messages }
+
+// JobState returns how many jobs ended in a state.
+func (c Counters) JobState(s hibiscusstate.JobState) uint64 { return c.jobStates[s] }
+
+// Outcome returns how many tasks ended with an outcome.
+func (c Counters) Outcome(o hibiscusstate.Outcome) uint64 { return c.outcomes[o] }
+
+// Refusal returns how many submissions were refused for a reason.
+func (c Counters) Refusal(r hibiscusstate.Refusal) uint64 { return c.refusals[r] }
+
+// Rejection returns how many tasks agents did not take for a reason.
+func (c Counters) Rejection(r hibiscusstate.Rejection) uint64 { return c.rejections[r] }
+
+func (c *Counters) countJob(job *hibiscusstate.Job)          { c.jobStates[job.State()]++ }
+func (c *Counters) countOutcome(o hibiscusstate.Outcome)     { c.outcomes[o]++ }
+func (c *Counters) countRefusal(r hibiscusstate.Refusal)     { c.refusals[r]++ }
+func (c *Counters) countRejection(r hibiscusstate.Rejection) { c.rejections[r]++ }
--- /dev/null
+++ b/hibiscuscoordination/message.go
@@ -0,0 +1,258 @@
+package hibiscuscoordination
+
+import (
+	"hibiscusrouter/hibiscusstate"
+)
+
+//go:generate stringer -type=MessageKind,Role -linecomment -output=message_string.go
+
+// Messages are what the processes of the system say to each other, without their encoding.
+
+// MessageKind names what a message says.
+type MessageKind int
+
+// The kinds of messages; section 6 of docs/design.md says who sends which.
+const (
+	MessageHello         MessageKind = iota // hello
+	MessagePing                             // ping
+	MessagePong                             // pong
+	MessageOrders                           // orders
+	MessageReports                          // reports
+	MessageStop                             // stop
+	MessageSettle                           // settle
+	MessageRecover                          // recover
+	MessageRecovered                        // recovered
+	MessageForward                          // forward
+	MessageForwarded                        // forwarded
+	MessageConfiguration                    // configuration
+	MessageMembers                          // members
+	MessageCapacity                         // capacity
+)
+
+// Role says what a process is.
+type Role int
+
+// The roles of processes that hold sessions.
+const (
+	RoleEntry Role = iota // entry
+	RoleAgent             // agent
+)
+
+// Hello introduces a process to the other end of a session.
+type Hello struct {
+	role        Role
+	incarnation hibiscusstate.Incarnation
+	address     string
+	domain      string
+	version     uint64
+	capacity    Capacity
+}
+
+// NewHello returns an introduction; version is that of the configuration in force, zero for none.
+func NewHello(role Role, incarnation hibiscusstate.Incarnation, address, domain string, version uint64, capacity Capacity) Hello {
+	return Hello{role: role, incarnation: incarnation, address: address, domain: domain, version: version, capacity: capacity}
+}
+
+// Role returns the role of the process.
+func (h Hello) Role() Role { return h.role }
+
+// Incarnation returns the incarnation of the process.
+func (h Hello) Incarnation() hibiscusstate.Incarnation { return h.incarnation }
+
+// Address returns where the process listens, host and port.
+func (h Hello) Address() string { return h.address }
+
+// Domain returns the failure domain of the process.
+func (h Hello) Domain() string { return h.domain }
+
+// Version returns the configuration version in force in the process.
+func (h Hello) Version() uint64 { return h.version }
+
+// Capacity returns what the agent's endpoint offers.
+func (h Hello) Capacity() Capacity { return h.capacity }
+
+// Capacity says what an agent's endpoint offers.
+type Capacity struct {
+	service string
+	slots   int
+	leaving bool
+	lease   uint64
+}
+
+// NewCapacity returns a capacity; slots is zero while there is no endpoint.
+func NewCapacity(service string, slots int, leaving bool, lease uint64) Capacity {
+	return Capacity{service: service, slots: slots, leaving: leaving, lease: lease}
+}
+
+// Service returns the service of the endpoint, empty while there is none.
+func (c Capacity) Service() string { return c.service }
+
+// Slots returns how many tasks the endpoint runs at once.
+func (c Capacity) Slots() int { return c.slots }
+
+// Leaving says whether the endpoint takes no new work.
+func (c Capacity) Leaving() bool { return c.leaving }
+
+// Lease returns the lease epoch that the agent grants to the entry it speaks to.
+func (c Capacity) Lease() uint64 { return c.lease }
+
+// Member is one entry process that others may connect to.
+type Member struct {
+	incarnation hibiscusstate.Incarnation
+	address     string
+	domain      string
+	heartbeat   uint64
+}
+
+// NewMember returns a member; heartbeat is the counter of its row in the table.
+func NewMember(incarnation hibiscusstate.Incarnation, address, domain string, heartbeat uint64) Member {
+	return Member{incarnation: incarnation, address: address, domain: domain, heartbeat: heartbeat}
+}
+
+// Incarnation returns the incarnation of the entry.
+func (m Member) Incarnation() hibiscusstate.Incarnation { return m.incarnation }
+
+// Address returns where the entry listens for sessions, host and port.
+func (m Member) Address() string { return m.address }
+
+// Domain returns the failure domain of the entry.
+func (m Member) Domain() string { return m.domain }
+
+// Heartbeat returns the counter of the entry's row in the table.
+func (m Member) Heartbeat() uint64 { return m.heartbeat }
+
+// Message is one message between two processes; only the accessors that belong to its kind return something.
+type Message struct {
+	kind          MessageKind
+	hello         Hello
+	orders        []hibiscusstate.Order
+	reports       []hibiscusstate.Report
+	tries         []hibiscusstate.TaskTry
+	key           hibiscusstate.SubmissionKey
+	request       uint64
+	submission    *Submission
+	answer        *Answer
+	configuration *hibiscusstate.Configuration
+	members       []Member
+}
+
+// NewHelloMessage returns the first message of a session.
+func NewHelloMessage(hello Hello) Message { return Message{kind: MessageHello, hello: hello} }
+
+// NewPingMessage returns a message that asks for a sign of life.
+func NewPingMessage() Message { return Message{kind: MessagePing} }
+
+// NewPongMessage returns the answer to a ping.
+func NewPongMessage() Message { return Message{kind: MessagePong} }
+
+// NewOrdersMessage returns a message that gives tasks to an agent.
+func NewOrdersMessage(orders []hibiscusstate.Order) Message {
+	return Message{kind: MessageOrders, orders: orders}
+}
+
+// NewReportsMessage returns a message that tells an entry about its tasks.
+func NewReportsMessage(reports []hibiscusstate.Report) Message {
+	return Message{kind: MessageReports, reports: reports}
+}
+
+// NewStopMessage returns a message that asks an agent to stop tasks.
+func NewStopMessage(tries []hibiscusstate.TaskTry) Message {
+	return Message{kind: MessageStop, tries: tries}
+}
+
+// NewSettleMessage returns a message that asks an agent what became of tasks given over an earlier session.
+func NewSettleMessage(tries []hibiscusstate.TaskTry) Message {
+	return Message{kind: MessageSettle, tries: tries}
+}
+
+// NewRecoverMessage returns a message that seals a key at an agent and asks for all that it has under the key.
+func NewRecoverMessage(request uint64, key hibiscusstate.SubmissionKey) Message {
+	return Message{kind: MessageRecover, request: request, key: key}
+}
+
+// NewRecoveredMessage returns the answer to a recover message; tasks that still run follow in later ones.
+func NewRecoveredMessage(request uint64, key hibiscusstate.SubmissionKey, reports []hibiscusstate.Report) Message {
+	return Message{kind: MessageRecovered, request: request, key: key, reports: reports}
+}
+
+// NewForwardMessage returns a message that passes a submission to the entry that its key names.
+func NewForwardMessage(request uint64, submission *Submission) Message {
+	return Message{kind: MessageForward, request: request, submission: submission}
+}
+
+// NewForwardedMessage returns the answer to a forward message.
+func NewForwardedMessage(request uint64, answer *Answer) Message {
+	return Message{kind: MessageForwarded, request: request, answer: answer}
+}
+
+// NewConfigurationMessage returns a message that brings an accepted configuration.
+func NewConfigurationMessage(configuration *hibiscusstate.Configuration) Message {
+	return Message{kind: MessageConfiguration, configuration: configuration}
+}
+
+// NewMembersMessage returns a message that lists the entries.
+func NewMembersMessage(members []Member) Message {
+	return Message{kind: MessageMembers, members: members}
+}
+
+// NewCapacityMessage returns a message that tells what an agent's endpoint offers now.
+func NewCapacityMessage(capacity Capacity) Message {
+	return Message{kind: MessageCapacity, hello: Hello{capacity: capacity}}
+}
+
+// Kind returns what the message says.
+func (m Message) Kind() MessageKind { return m.kind }
+
+// Hello returns the introduction of a hello message.
+func (m Message) Hello() Hello { return m.hello }
+
+// Capacity returns the capacity of a hello or capacity message.
+func (m Message) Capacity() Capacity { return m.hello.capacity }
+
+// Orders returns the tasks of an orders message.
+func (m Message) Orders() []hibiscusstate.Order { return m.orders }
+
+// Reports returns the reports of a reports or recovered message.
+func (m Message) Reports() []hibiscusstate.Report { return m.reports }
+
+// Tries returns the tasks of a stop or settle message.
+func (m Message) Tries() []hibiscusstate.TaskTry { return m.tries }
+
+// Key returns the submission key of a recover or recovered message.
+func (m Message) Key() hibiscusstate.SubmissionKey { return m.key }
+
+// Request returns the number that joins an answer to its question.
+func (m Message) Request() uint64 { return m.request }
+
+// Submission returns the submission of a forward message.
+func (m Message) Submission() *Submission { return m.submission }
+
+// Answer returns the answer of a forwarded message.
+func (m Message) Answer() *Answer { return m.answer }
+
+// Configuration returns the configuration of a configuration message.
+func (m Message) Configuration() *hibiscusstate.Configuration { return m.configuration }
+
+// Members returns the entries of a members message.
+func (m Message) Members() []Member { return m.members }
+
+// Peer is the other end of a session, as a duty uses it.
+type Peer struct {
+	hello Hello
+	send  func(Message) bool
+	close func()
+}
+
+// NewPeer returns a peer; send never blocks and says whether the message was taken, and close ends the session.
+func NewPeer(hello Hello, send func(Message) bool, closeSession func()) *Peer {
+	return &Peer{hello: hello, send: send, close: closeSession}
+}
+
+// Hello returns how the other end introduced itself.
+func (p *Peer) Hello() Hello { return p.hello }
+
+// Send gives a message to the session's writer and says whether there was room.
+func (p *Peer) Send(m Message) bool { return p.send(m) }
+
+// Close ends the session.
+func (p *Peer) Close() { p.close() }
--- /dev/null
+++ b/hibiscuscoordination/slot_keeper.go
@@ -0,0 +1,444 @@
+package hibiscuscoordination
+
+import (
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// The SlotKeeper holds every decision of an agent. It is the one authority for the slots of its endpoint: entries place
+// tasks by views that may be late, and the keeper starts, holds or rejects each of them. A rejection always means that the
+// task was not run, because nothing is rejected after it was handed to a runner.
+
+const (
+	// leaseTime is how long an entry may be silent before orders that it sent earlier are rejected.
+	leaseTime = 2 * time.Second
+	// doneRetention and maxDoneBytes bound the results that are kept for recovery.
+	doneRetention = 2 * time.Minute
+	maxDoneBytes  = 32 << 20
+	// maxTombstones bounds the sealed keys and the settled tries that are remembered.
+	maxTombstones = 100_000
+)
+
+// SlotKeeper decides for one agent.
+type SlotKeeper struct {
+	incarnation hibiscusstate.Incarnation
+	service     string
+	slots       []*hibiscusstate.AgentTask
+	limit       int
+	waiting     []*hibiscusstate.AgentTask
+	tasks       *hibiscusstate.AgentTasks
+	entries     map[hibiscusstate.Incarnation]*client
+	sealed      *hibiscusstate.BoundedSet[hibiscusstate.SubmissionKey]
+	settled     *hibiscusstate.BoundedSet[hibiscusstate.TaskTry]
+	watchers    map[hibiscusstate.SubmissionKey][]watcher
+	leaving     bool
+	outbox      map[hibiscusstate.Incarnation][]hibiscusstate.Report
+	send        func(entry hibiscusstate.Incarnation, m Message) bool
+	run         func(slot int, order hibiscusstate.Order)
+	stop        func(slot int, id hibiscusstate.TaskID)
+	started     uint64
+	duplicates  uint64
+}
+
+// client is an entry as the agent knows it.
+type client struct {
+	lease     uint64
+	heardAt   time.Time
+	connected bool
+	tasks     int
+}
+
+// watcher is an entry that recovers a job and waits for the tasks that still run.
+type watcher struct {
+	entry   hibiscusstate.Incarnation
+	request uint64
+}
+
+// SlotKeeperSeams are the function fields through which a SlotKeeper acts.
+type SlotKeeperSeams struct {
+	send func(entry hibiscusstate.Incarnation, m Message) bool
+	run  func(slot int, order hibiscusstate.Order)
+	stop func(slot int, id hibiscusstate.TaskID)
+}
+
+// NewSlotKeeperSeams returns the seams: send gives a message to an entry's session without blocking, run hands a task to
+// the runner of a slot, and stop asks that runner to give up the task.
+func NewSlotKeeperSeams(
+	send func(entry hibiscusstate.Incarnation, m Message) bool,
+	run func(slot int, order hibiscusstate.Order),
+	stop func(slot int, id hibiscusstate.TaskID),
+) SlotKeeperSeams {
+	return SlotKeeperSeams{send: send, run: run, stop: stop}
+}
+
+// NewSlotKeeper returns the decisions of the agent with the given incarnation, without an endpoint.
+func NewSlotKeeper(incarnation hibiscusstate.Incarnation, seams SlotKeeperSeams) *SlotKeeper {
+	return &SlotKeeper{
+		incarnation: incarnation,
+		tasks:       hibiscusstate.NewAgentTasks(doneRetention, maxDoneBytes),
+		entries:     map[hibiscusstate.Incarnation]*client{},
+		sealed:      hibiscusstate.NewBoundedSet[hibiscusstate.SubmissionKey](maxTombstones),
+		settled:     hibiscusstate.NewBoundedSet[hibiscusstate.TaskTry](maxTombstones),
+		watchers:    map[hibiscusstate.SubmissionKey][]watcher{},
+		outbox:      map[hibiscusstate.Incarnation][]hibiscusstate.Report{},
+		send:        seams.send,
+		run:         seams.run,
+		stop:        seams.stop,
+	}
+}
+
+// Running returns the number of tasks that the endpoint has.
+func (k *SlotKeeper) Running() int {
+	n := 0
+	for _, t := range k.slots {
+		if t != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting returns the number of tasks that wait for a slot.
+func (k *SlotKeeper) Waiting() int { return len(k.waiting) }
+
+// Started returns how many tasks were handed to the endpoint.
+func (k *SlotKeeper) Started() uint64 { return k.started }
+
+// Duplicates returns how many orders were ignored because their task was already taken.
+func (k *SlotKeeper) Duplicates() uint64 { return k.duplicates }
+
+// Leaving says whether the endpoint takes no new work.
+func (k *SlotKeeper) Leaving() bool { return k.leaving }
+
+// Idle says whether no task runs or waits.
+func (k *SlotKeeper) Idle() bool { return k.Running() == 0 && len(k.waiting) == 0 }
+
+// Capacity returns what the endpoint offers to an entry.
+func (k *SlotKeeper) Capacity(entry hibiscusstate.Incarnation) Capacity {
+	return NewCapacity(k.service, k.limit, k.leaving, k.client(entry).lease)
+}
+
+// SetEndpoint takes an announcement: the service of the endpoint and its slots, zero when it is gone.
+func (k *SlotKeeper) SetEndpoint(now time.Time, service string, slots int) {
+	if service == k.service && slots == k.limit && !k.leaving {
+		return
+	}
+	k.service = service
+	k.limit = slots
+	k.leaving = false
+	for len(k.slots) < slots {
+		k.slots = append(k.slots, nil)
+	}
+	k.announce()
+	k.startWaiting(now)
+}
+
+// Leave makes the agent reject all orders from now on; what runs and waits goes on.
+func (k *SlotKeeper) Leave() {
+	if k.leaving {
+		return
+	}
+	k.leaving = true
+	k.announce()
+}
+
+func (k *SlotKeeper) announce() {
+	for id, c := range k.entries {
+		if c.connected {
+			k.send(id, NewCapacityMessage(k.Capacity(id)))
+		}
+	}
+}
+
+// EntryUp takes an entry whose session has opened.
+func (k *SlotKeeper) EntryUp(now time.Time, entry hibiscusstate.Incarnation) {
+	k.Hear(now, entry)
+	k.client(entry).connected = true
+	k.send(entry, NewCapacityMessage(k.Capacity(entry)))
+}
+
+// EntryDown takes the loss of an entry's session; its tasks go on.
+func (k *SlotKeeper) EntryDown(entry hibiscusstate.Incarnation) {
+	k.client(entry).connected = false
+}
+
+// Hear renews the lease of an entry; after a silence past the lease it raises the epoch first, so that orders that were
+// sent before the silence are rejected. An order carries the time that is left until its deadline, and a process that was
+// paused between its check and its send would have it started late.
+func (k *SlotKeeper) Hear(now time.Time, entry hibiscusstate.Incarnation) {
+	c := k.client(entry)
+	if now.Sub(c.heardAt) > leaseTime {
+		c.lease++
+	}
+	c.heardAt = now
+}
+
+// Orders takes tasks from an entry.
+func (k *SlotKeeper) Orders(now time.Time, entry hibiscusstate.Incarnation, orders []hibiscusstate.Order) {
+	for _, order := range orders {
+		if rejection := k.take(now, entry, order); rejection != hibiscusstate.RejectionNone {
+			k.reject(entry, order.Try(), rejection)
+		}
+	}
+	k.flush()
+}
+
+// take starts an order or lets it wait, and otherwise says why not.
+func (k *SlotKeeper) take(now time.Time, entry hibiscusstate.Incarnation, order hibiscusstate.Order) hibiscusstate.Rejection {
+	if known := k.tasks.Get(order.ID()); known != nil {
+		// The task was taken under another try. Whatever the entry believes, it must not start again, and calling it not
+		// run would make the entry place it elsewhere.
+		k.duplicates++
+		return hibiscusstate.RejectionNone
+	}
+	switch {
+	case k.sealed.Has(order.ID().Key()):
+		return hibiscusstate.RejectionSealed
+	case k.settled.Has(order.Try()):
+		return hibiscusstate.RejectionDuplicate
+	case order.Lease() != k.client(entry).lease:
+		return hibiscusstate.RejectionLeaseExpired
+	case k.leaving:
+		return hibiscusstate.RejectionLeaving
+	case k.limit == 0:
+		return hibiscusstate.RejectionEndpointDown
+	case order.Budget() <= 0:
+		return hibiscusstate.RejectionExpired
+	}
+	t := hibiscusstate.NewAgentTask(order, entry, now)
+	if slot := k.freeSlot(); slot >= 0 && len(k.waiting) == 0 {
+		k.add(t)
+		k.start(now, t, slot)
+		return hibiscusstate.RejectionNone
+	}
+	if !order.MayWait() || len(k.waiting) >= agentWaitPlaces {
+		return hibiscusstate.RejectionNoFreeSlot
+	}
+	k.add(t)
+	k.waiting = append(k.waiting, t)
+	return hibiscusstate.RejectionNone
+}
+
+func (k *SlotKeeper) add(t *hibiscusstate.AgentTask) {
+	k.tasks.Add(t)
+	k.client(t.Entry()).tasks++
+}
+
+func (k *SlotKeeper) freeSlot() int {
+	if k.Running() >= k.limit {
+		return -1
+	}
+	for i, t := range k.slots {
+		if t == nil {
+			return i
+		}
+	}
+	return -1
+}
+
+func (k *SlotKeeper) start(now time.Time, t *hibiscusstate.AgentTask, slot int) {
+	k.slots[slot] = t
+	t.Start(slot, now)
+	k.started++
+	left := t.Order().Budget() - now.Sub(t.TakenAt())
+	k.run(slot, t.Order().WithBudget(left))
+}
+
+// Finished takes the result of the task that a slot's runner has ended.
+func (k *SlotKeeper) Finished(now time.Time, slot int, result RunResult) {
+	t := k.slots[slot]
+	k.slots[slot] = nil
+	k.client(t.Entry()).tasks--
+	if result.rejection != hibiscusstate.RejectionNone {
+		k.tasks.Drop(t)
+		k.reject(t.Entry(), t.Order().Try(), result.rejection)
+	} else {
+		report := hibiscusstate.NewResult(t.Order().Try(), result.outcome, result.output, result.reason, now.Sub(t.StartedAt())).
+			WithJob(t.Order().Count(), t.Order().Digest())
+		t.Finish(report, now)
+		k.tasks.Done(t, now)
+		k.put(t.Entry(), report)
+	}
+	k.startWaiting(now)
+	k.tellWatchers(t.Order().ID().Key())
+	k.flush()
+}
+
+func (k *SlotKeeper) startWaiting(now time.Time) {
+	for len(k.waiting) > 0 {
+		slot := k.freeSlot()
+		if slot < 0 {
+			return
+		}
+		t := k.waiting[0]
+		k.waiting = k.waiting[1:]
+		k.start(now, t, slot)
+	}
+}
+
+// Stop gives up tasks: waiting ones are rejected as not run, running ones are stopped at the endpoint.
+func (k *SlotKeeper) Stop(tries []hibiscusstate.TaskTry) {
+	for _, try := range tries {
+		t := k.tasks.Get(try.ID())
+		if t == nil || t.Order().Try() != try {
+			continue
+		}
+		switch t.Status() {
+		case hibiscusstate.StatusWaiting:
+			k.returnWaiting(t, hibiscusstate.RejectionStopped)
+		case hibiscusstate.StatusRunning:
+			k.stop(t.Slot(), try.ID())
+		case hibiscusstate.StatusDone, hibiscusstate.StatusRejected, hibiscusstate.StatusNeverReceived:
+		}
+	}
+	k.flush()
+}
+
+// returnWaiting gives a waiting task back to its entry.
+func (k *SlotKeeper) returnWaiting(t *hibiscusstate.AgentTask, rejection hibiscusstate.Rejection) {
+	for i, other := range k.waiting {
+		if other == t {
+			k.waiting = append(k.waiting[:i], k.waiting[i+1:]...)
+			break
+		}
+	}
+	k.client(t.Entry()).tasks--
+	k.tasks.Drop(t)
+	k.reject(t.Entry(), t.Order().Try(), rejection)
+}
+
+// Settle says what became of tasks that an entry gave over a session that was lost. A try that never arrived is
+// remembered, so that it is rejected should it still come.
+func (k *SlotKeeper) Settle(entry hibiscusstate.Incarnation, tries []hibiscusstate.TaskTry) {
+	for _, try := range tries {
+		t := k.tasks.Get(try.ID())
+		if t == nil {
+			k.settled.Add(try)
+			k.put(entry, hibiscusstate.NewStatusReport(try, hibiscusstate.StatusNeverReceived))
+			continue
+		}
+		k.put(entry, statusOf(t))
+	}
+	k.flush()
+}
+
+// Recover seals a key, so that no order under it is taken from now on, and tells all that the agent has under it.
+func (k *SlotKeeper) Recover(entry hibiscusstate.Incarnation, request uint64, key hibiscusstate.SubmissionKey) {
+	k.sealed.Add(key)
+	open := false
+	reports := []hibiscusstate.Report{}
+	for _, t := range k.tasks.OfJob(key) {
+		reports = append(reports, statusOf(t))
+		open = open || t.Status() != hibiscusstate.StatusDone
+	}
+	if open {
+		k.watchers[key] = append(k.watchers[key], watcher{entry: entry, request: request})
+	}
+	k.send(entry, NewRecoveredMessage(request, key, reports))
+}
+
+// tellWatchers sends what a recovered job has now to the entries that recover it.
+func (k *SlotKeeper) tellWatchers(key hibiscusstate.SubmissionKey) {
+	watchers := k.watchers[key]
+	if watchers == nil {
+		return
+	}
+	delete(k.watchers, key)
+	for _, w := range watchers {
+		k.Recover(w.entry, w.request, key)
+	}
+}
+
+func statusOf(t *hibiscusstate.AgentTask) hibiscusstate.Report {
+	if t.Status() == hibiscusstate.StatusDone {
+		return t.Report()
+	}
+	return hibiscusstate.NewStatusReport(t.Order().Try(), t.Status()).WithJob(t.Order().Count(), t.Order().Digest())
+}
+
+// Tick returns tasks that have waited too long and forgets old records.
+func (k *SlotKeeper) Tick(now time.Time) {
+	for i := 0; i < len(k.waiting); {
+		t := k.waiting[i]
+		if now.Sub(t.TakenAt()) < t.Order().WaitLimit() {
+			i++
+			continue
+		}
+		k.returnWaiting(t, hibiscusstate.RejectionWaitedOut)
+	}
+	k.tasks.Evict(now)
+	k.flush()
+}
+
+// NextTick returns when Tick has something to do.
+func (k *SlotKeeper) NextTick(now time.Time) time.Time {
+	next := now.Add(time.Second)
+	for _, t := range k.waiting {
+		due := t.TakenAt().Add(t.Order().WaitLimit())
+		if due.Before(next) {
+			next = due
+		}
+	}
+	return next
+}
+
+func (k *SlotKeeper) reject(entry hibiscusstate.Incarnation, try hibiscusstate.TaskTry, rejection hibiscusstate.Rejection) {
+	k.put(entry, hibiscusstate.NewRejection(try, rejection))
+}
+
+func (k *SlotKeeper) put(entry hibiscusstate.Incarnation, report hibiscusstate.Report) {
+	k.outbox[entry] = append(k.outbox[entry], report)
+}
+
+// flush sends the collected reports, with the load as it is after all of them.
+func (k *SlotKeeper) flush() {
+	total := k.Running() + len(k.waiting)
+	for entry, reports := range k.outbox {
+		c := k.client(entry)
+		for i := range reports {
+			reports[i] = reports[i].WithLoad(total-c.tasks, len(k.waiting), c.lease)
+		}
+		k.send(entry, NewReportsMessage(reports))
+		delete(k.outbox, entry)
+	}
+}
+
+func (k *SlotKeeper) client(entry hibiscusstate.Incarnation) *client {
+	c := k.entries[entry]
+	if c == nil {
+		c = &client{}
+		k.entries[entry] = c
+	}
+	return c
+}
+
+// RunResult is what a slot's runner says about the task that it had.
+type RunResult struct {
+	outcome   hibiscusstate.Outcome
+	output    []byte
+	reason    string
+	rejection hibiscusstate.Rejection
+}
+
+// NewRunResult returns the result of a task that the endpoint started, or may have started.
+func NewRunResult(outcome hibiscusstate.Outcome, output []byte, reason string) RunResult {
+	return RunResult{outcome: outcome, output: output, reason: reason}
+}
+
+// NewNotRunResult returns the result of a task that the endpoint certainly did not start.
+func NewNotRunResult(rejection hibiscusstate.Rejection) RunResult {
+	return RunResult{rejection: rejection}
+}
+
+// Outcome returns what is known about the task.
+func (r RunResult) Outcome() hibiscusstate.Outcome { return r.outcome }
+
+// Rejection returns why the endpoint did not take the task, RejectionNone when it did or may have.
+func (r RunResult) Rejection() hibiscusstate.Rejection { return r.rejection }
+
+// Output returns the endpoint's answer.
+func (r RunResult) Output() []byte { return r.output }
+
+// Reason returns why the task did not finish.
+func (r RunResult) Reason() string { return r.reason }
--- /dev/null
+++ b/hibiscusprotocol/frame.go
@@ -0,0 +1,361 @@
+package hibiscusprotocol
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol/hibiscuswire"
+	"hibiscusrouter/hibiscusstate"
+)
+
+// Frames are the protobuf form of hibiscuscoordination.Message. Durations travel as whole microseconds, and every enum is
+// checked on the way in, because a frame may come from a newer or a hostile process.
+
+// MaxFrameBytes is the size of the largest frame that a process takes.
+const MaxFrameBytes = 8 << 20
+
+// EncodeFrame appends the frame of a message to buf, and returns ErrBadFrame for one that can't be encoded.
+func EncodeFrame(buf []byte, m hibiscuscoordination.Message) ([]byte, error) {
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, frameOf(m))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "encode %s frame", m.Kind()), ErrBadFrame)
+	}
+	return buf, nil
+}
+
+// DecodeFrame returns the message of a frame, and ErrBadFrame for bytes that are none.
+func DecodeFrame(b []byte) (hibiscuscoordination.Message, error) {
+	var f hibiscuswire.Frame
+	if err := proto.Unmarshal(b, &f); err != nil {
+		return hibiscuscoordination.Message{}, errors.Mark(errors.Wrap(err, "decode frame"), ErrBadFrame)
+	}
+	return messageOf(&f)
+}
+
+func frameOf(m hibiscuscoordination.Message) *hibiscuswire.Frame {
+	var b hibiscuswire.Frame_builder
+	switch m.Kind() {
+	case hibiscuscoordination.MessageHello:
+		b.Hello = helloOut(m.Hello())
+	case hibiscuscoordination.MessagePing:
+		b.Ping = &hibiscuswire.Ping{}
+	case hibiscuscoordination.MessagePong:
+		b.Pong = &hibiscuswire.Pong{}
+	case hibiscuscoordination.MessageOrders:
+		b.Orders = ordersOut(m.Orders())
+	case hibiscuscoordination.MessageReports:
+		b.Reports = hibiscuswire.Reports_builder{Reports: reportsOut(m.Reports())}.Build()
+	case hibiscuscoordination.MessageStop:
+		b.Stop = triesOut(m.Tries())
+	case hibiscuscoordination.MessageSettle:
+		b.Settle = triesOut(m.Tries())
+	case hibiscuscoordination.MessageRecover:
+		b.Recover = hibiscuswire.Recover_builder{Request: m.Request(), Key: keyOut(m.Key())}.Build()
+	case hibiscuscoordination.MessageRecovered:
+		b.Recovered = hibiscuswire.Recovered_builder{
+			Request: m.Request(), Key: keyOut(m.Key()), Reports: reportsOut(m.Reports()),
+		}.Build()
+	case hibiscuscoordination.MessageForward:
+		b.Forward = forwardOut(m.Request(), m.Submission())
+	case hibiscuscoordination.MessageForwarded:
+		b.Forwarded = forwardedOut(m.Request(), m.Answer())
+	case hibiscuscoordination.MessageConfiguration:
+		b.Configuration = hibiscuswire.Configuration_builder{
+			Version: m.Configuration().Version(), Text: m.Configuration().Text(),
+		}.Build()
+	case hibiscuscoordination.MessageMembers:
+		b.Members = membersOut(m.Members())
+	case hibiscuscoordination.MessageCapacity:
+		b.Capacity = capacityOut(m.Capacity())
+	}
+	return b.Build()
+}
+
+func messageOf(f *hibiscuswire.Frame) (hibiscuscoordination.Message, error) {
+	in := &frameReader{}
+	var m hibiscuscoordination.Message
+	switch f.WhichBody() {
+	case hibiscuswire.Frame_Hello_case:
+		m = hibiscuscoordination.NewHelloMessage(in.hello(f.GetHello()))
+	case hibiscuswire.Frame_Ping_case:
+		m = hibiscuscoordination.NewPingMessage()
+	case hibiscuswire.Frame_Pong_case:
+		m = hibiscuscoordination.NewPongMessage()
+	case hibiscuswire.Frame_Orders_case:
+		m = hibiscuscoordination.NewOrdersMessage(in.orders(f.GetOrders().GetOrders()))
+	case hibiscuswire.Frame_Reports_case:
+		m = hibiscuscoordination.NewReportsMessage(in.reports(f.GetReports().GetReports()))
+	case hibiscuswire.Frame_Stop_case:
+		m = hibiscuscoordination.NewStopMessage(in.tries(f.GetStop().GetTries()))
+	case hibiscuswire.Frame_Settle_case:
+		m = hibiscuscoordination.NewSettleMessage(in.tries(f.GetSettle().GetTries()))
+	case hibiscuswire.Frame_Recover_case:
+		m = hibiscuscoordination.NewRecoverMessage(f.GetRecover().GetRequest(), in.key(f.GetRecover().GetKey()))
+	case hibiscuswire.Frame_Recovered_case:
+		r := f.GetRecovered()
+		m = hibiscuscoordination.NewRecoveredMessage(r.GetRequest(), in.key(r.GetKey()), in.reports(r.GetReports()))
+	case hibiscuswire.Frame_Forward_case:
+		m = hibiscuscoordination.NewForwardMessage(f.GetForward().GetRequest(), in.submission(f.GetForward()))
+	case hibiscuswire.Frame_Forwarded_case:
+		m = hibiscuscoordination.NewForwardedMessage(f.GetForwarded().GetRequest(), in.answer(f.GetForwarded()))
+	case hibiscuswire.Frame_Configuration_case:
+		m = hibiscuscoordination.NewConfigurationMessage(in.configuration(f.GetConfiguration()))
+	case hibiscuswire.Frame_Members_case:
+		m = hibiscuscoordination.NewMembersMessage(in.members(f.GetMembers().GetMembers()))
+	case hibiscuswire.Frame_Capacity_case:
+		m = hibiscuscoordination.NewCapacityMessage(in.capacity(f.GetCapacity()))
+	case hibiscuswire.Frame_Body_not_set_case:
+		in.fail("frame has no body")
+	default:
+		in.fail("frame has an unknown body")
+	}
+	return m, in.err
+}
+
+func helloOut(h hibiscuscoordination.Hello) *hibiscuswire.Hello {
+	return hibiscuswire.Hello_builder{
+		Role: int32(h.Role()), Incarnation: uint64(h.Incarnation()), Address: h.Address(), Domain: h.Domain(),
+		Version: h.Version(), Capacity: capacityOut(h.Capacity()),
+	}.Build()
+}
+
+func capacityOut(c hibiscuscoordination.Capacity) *hibiscuswire.Capacity {
+	return hibiscuswire.Capacity_builder{
+		Service: c.Service(), Slots: int32(c.Slots()), Leaving: c.Leaving(), Lease: c.Lease(),
+	}.Build()
+}
+
+func keyOut(k hibiscusstate.SubmissionKey) *hibiscuswire.Key {
+	return hibiscuswire.Key_builder{Incarnation: uint64(k.Incarnation()), Sequence: k.Sequence()}.Build()
+}
+
+func tryOut(t hibiscusstate.TaskTry) *hibiscuswire.Try {
+	return hibiscuswire.Try_builder{
+		Key: keyOut(t.ID().Key()), Index: int32(t.ID().Index()), Number: int32(t.Number()),
+	}.Build()
+}
+
+func triesOut(tries []hibiscusstate.TaskTry) *hibiscuswire.Tries {
+	out := make([]*hibiscuswire.Try, len(tries))
+	for i, t := range tries {
+		out[i] = tryOut(t)
+	}
+	return hibiscuswire.Tries_builder{Tries: out}.Build()
+}
+
+func ordersOut(orders []hibiscusstate.Order) *hibiscuswire.Orders {
+	out := make([]*hibiscuswire.Order, len(orders))
+	for i, o := range orders {
+		out[i] = hibiscuswire.Order_builder{
+			Try: tryOut(o.Try()), Count: int32(o.Count()), Digest: o.Digest(), Kind: o.Kind(), Payload: o.Payload(),
+			BudgetUs: o.Budget().Microseconds(), Lease: o.Lease(), WaitLimitUs: o.WaitLimit().Microseconds(),
+		}.Build()
+	}
+	return hibiscuswire.Orders_builder{Orders: out}.Build()
+}
+
+func reportsOut(reports []hibiscusstate.Report) []*hibiscuswire.Report {
+	out := make([]*hibiscuswire.Report, len(reports))
+	for i, r := range reports {
+		out[i] = hibiscuswire.Report_builder{
+			Try: tryOut(r.Try()), Status: int32(r.Status()), Outcome: int32(r.Outcome()), Rejection: int32(r.Rejection()),
+			Output: r.Output(), Reason: r.Reason(), RunTimeUs: r.RunTime().Microseconds(), Count: int32(r.Count()),
+			Digest: r.Digest(), Others: int32(r.Others()), Waiting: int32(r.Waiting()), Lease: r.Lease(),
+		}.Build()
+	}
+	return out
+}
+
+func forwardOut(request uint64, s *hibiscuscoordination.Submission) *hibiscuswire.Forward {
+	tasks := make([]*hibiscuswire.Task, len(s.Tasks()))
+	for i, t := range s.Tasks() {
+		tasks[i] = hibiscuswire.Task_builder{
+			Kind: t.Kind(), Payload: t.Payload(), DeclaredUs: t.Declared().Microseconds(),
+		}.Build()
+	}
+	return hibiscuswire.Forward_builder{
+		Request: request, Key: keyOut(s.Key()), Digest: s.Digest(), Team: s.Team(), Service: s.Service(),
+		BudgetUs: s.Budget().Microseconds(), Attempt: int32(s.Attempt()), Tasks: tasks, Fetch: s.Fetch(),
+		Cancel: s.Cancel(), WaitUs: s.Wait().Microseconds(),
+	}.Build()
+}
+
+func forwardedOut(request uint64, a *hibiscuscoordination.Answer) *hibiscuswire.Forwarded {
+	tasks := make([]*hibiscuswire.TaskAnswer, len(a.Tasks()))
+	for i, t := range a.Tasks() {
+		tasks[i] = hibiscuswire.TaskAnswer_builder{
+			Outcome: int32(t.Outcome()), Output: t.Output(), Reason: t.Reason(),
+		}.Build()
+	}
+	b := hibiscuswire.Forwarded_builder{
+		Request: request, Key: keyOut(a.Key()), Refusal: int32(a.Refusal()), Message: a.Message(), NotRun: a.NotRun(),
+		RetryAfterUs: a.RetryAfter().Microseconds(), State: int32(a.State()), Tasks: tasks,
+	}
+	if key, ok := a.NextKey(); ok {
+		b.NextKey = keyOut(key)
+	}
+	return b.Build()
+}
+
+func membersOut(members []hibiscuscoordination.Member) *hibiscuswire.Members {
+	out := make([]*hibiscuswire.Member, len(members))
+	for i, m := range members {
+		out[i] = hibiscuswire.Member_builder{
+			Incarnation: uint64(m.Incarnation()), Address: m.Address(), Domain: m.Domain(), Heartbeat: m.Heartbeat(),
+		}.Build()
+	}
+	return hibiscuswire.Members_builder{Members: out}.Build()
+}
+
+// frameReader turns the parts of a frame into data, and keeps the first error.
+type frameReader struct {
+	err error
+}
+
+func (in *frameReader) fail(format string, args ...any) {
+	if in.err == nil {
+		in.err = errors.Mark(errors.Newf(format, args...), ErrBadFrame)
+	}
+}
+
+// enum checks a value against the last one of its enum.
+func enum[T ~int](in *frameReader, name string, value int32, last T) T {
+	if value < 0 || T(value) > last {
+		in.fail("%s %d is out of range", name, value)
+		return 0
+	}
+	return T(value)
+}
+
+func (in *frameReader) count(name string, value int32) int {
+	if value < 0 {
+		in.fail("%s %d is negative", name, value)
+		return 0
+	}
+	return int(value)
+}
+
+func microseconds(us int64) time.Duration {
+	const most = int64(time.Duration(1<<63-1) / time.Microsecond)
+	return time.Duration(min(max(us, -most), most)) * time.Microsecond
+}
+
+func (in *frameReader) key(k *hibiscuswire.Key) hibiscusstate.SubmissionKey {
+	if k == nil {
+		in.fail("frame has no submission key")
+	}
+	return hibiscusstate.NewSubmissionKey(hibiscusstate.Incarnation(k.GetIncarnation()), k.GetSequence())
+}
+
+func (in *frameReader) try(t *hibiscuswire.Try) hibiscusstate.TaskTry {
+	id := hibiscusstate.NewTaskID(in.key(t.GetKey()), in.count("task index", t.GetIndex()))
+	return hibiscusstate.NewTaskTry(id, in.count("try", t.GetNumber()))
+}
+
+func (in *frameReader) tries(tries []*hibiscuswire.Try) []hibiscusstate.TaskTry {
+	out := make([]hibiscusstate.TaskTry, len(tries))
+	for i, t := range tries {
+		out[i] = in.try(t)
+	}
+	return out
+}
+
+func (in *frameReader) hello(h *hibiscuswire.Hello) hibiscuscoordination.Hello {
+	role := enum(in, "role", h.GetRole(), hibiscuscoordination.RoleAgent)
+	return hibiscuscoordination.NewHello(role, hibiscusstate.Incarnation(h.GetIncarnation()), h.GetAddress(), h.GetDomain(),
+		h.GetVersion(), in.capacity(h.GetCapacity()))
+}
+
+func (in *frameReader) capacity(c *hibiscuswire.Capacity) hibiscuscoordination.Capacity {
+	return hibiscuscoordination.NewCapacity(c.GetService(), in.count("slots", c.GetSlots()), c.GetLeaving(), c.GetLease())
+}
+
+func (in *frameReader) orders(orders []*hibiscuswire.Order) []hibiscusstate.Order {
+	out := make([]hibiscusstate.Order, len(orders))
+	for i, o := range orders {
+		out[i] = hibiscusstate.NewOrder(in.try(o.GetTry()), in.count("task count", o.GetCount()), o.GetDigest(), o.GetKind(), o.GetPayload()).
+			WithBudget(microseconds(o.GetBudgetUs())).WithLease(o.GetLease()).WithWait(microseconds(o.GetWaitLimitUs()))
+	}
+	return out
+}
+
+func (in *frameReader) reports(reports []*hibiscuswire.Report) []hibiscusstate.Report {
+	out := make([]hibiscusstate.Report, len(reports))
+	for i, r := range reports {
+		out[i] = in.report(r).
+			WithJob(in.count("task count", r.GetCount()), r.GetDigest()).
+			WithLoad(in.count("others", r.GetOthers()), in.count("waiting", r.GetWaiting()), r.GetLease())
+	}
+	return out
+}
+
+func (in *frameReader) report(r *hibiscuswire.Report) hibiscusstate.Report {
+	try := in.try(r.GetTry())
+	status := enum(in, "status", r.GetStatus(), hibiscusstate.StatusRejected)
+	switch status {
+	case hibiscusstate.StatusRejected:
+		return hibiscusstate.NewRejection(try, enum(in, "rejection", r.GetRejection(), hibiscusstate.RejectionStopped))
+	case hibiscusstate.StatusDone:
+		outcome := enum(in, "outcome", r.GetOutcome(), hibiscusstate.OutcomeStopped)
+		return hibiscusstate.NewResult(try, outcome, r.GetOutput(), r.GetReason(), microseconds(r.GetRunTimeUs()))
+	case hibiscusstate.StatusNeverReceived, hibiscusstate.StatusWaiting, hibiscusstate.StatusRunning:
+		return hibiscusstate.NewStatusReport(try, status)
+	}
+	return hibiscusstate.Report{}
+}
+
+func (in *frameReader) submission(f *hibiscuswire.Forward) *hibiscuscoordination.Submission {
+	key := in.key(f.GetKey())
+	switch {
+	case f.GetCancel():
+		return hibiscuscoordination.NewCancel(key).WithWait(microseconds(f.GetWaitUs()))
+	case f.GetFetch():
+		return hibiscuscoordination.NewFetch(key).WithWait(microseconds(f.GetWaitUs()))
+	}
+	tasks := make([]hibiscusstate.TaskSpec, len(f.GetTasks()))
+	for i, t := range f.GetTasks() {
+		tasks[i] = hibiscusstate.NewTaskSpec(t.GetKind(), t.GetPayload(), microseconds(t.GetDeclaredUs()))
+	}
+	return hibiscuscoordination.NewSubmission(key, f.GetDigest(), f.GetTeam(), f.GetService(), tasks).
+		WithBudget(microseconds(f.GetBudgetUs())).WithAttempt(in.count("attempt", f.GetAttempt())).
+		WithWait(microseconds(f.GetWaitUs()))
+}
+
+func (in *frameReader) answer(f *hibiscuswire.Forwarded) *hibiscuscoordination.Answer {
+	key := in.key(f.GetKey())
+	refusal := enum(in, "refusal", f.GetRefusal(), hibiscusstate.RefusalOutcomeUnknown)
+	var a *hibiscuscoordination.Answer
+	if refusal != hibiscusstate.RefusalNone {
+		a = hibiscuscoordination.NewRefusal(key, refusal, f.GetNotRun(), f.GetMessage())
+	} else {
+		tasks := make([]hibiscuscoordination.TaskAnswer, len(f.GetTasks()))
+		for i, t := range f.GetTasks() {
+			outcome := enum(in, "outcome", t.GetOutcome(), hibiscusstate.OutcomeStopped)
+			tasks[i] = hibiscuscoordination.NewTaskAnswer(outcome, t.GetOutput(), t.GetReason())
+		}
+		a = hibiscuscoordination.NewJobAnswer(key, enum(in, "job state", f.GetState(), hibiscusstate.JobCancelled), tasks)
+	}
+	if f.HasNextKey() {
+		a.WithNextKey(in.key(f.GetNextKey()))
+	}
+	return a.WithRetryAfter(microseconds(f.GetRetryAfterUs()))
+}
+
+func (in *frameReader) configuration(c *hibiscuswire.Configuration) *hibiscusstate.Configuration {
+	document, err := ParseText("configuration", []byte(c.GetText()))
+	if err != nil {
+		in.fail("configuration version %d: %v", c.GetVersion(), err)
+	}
+	return hibiscusstate.NewConfiguration(c.GetVersion(), c.GetText(), document)
+}
+
+func (in *frameReader) members(members []*hibiscuswire.Member) []hibiscuscoordination.Member {
+	out := make([]hibiscuscoordination.Member, len(members))
+	for i, m := range members {
+		out[i] = hibiscuscoordination.NewMember(hibiscusstate.Incarnation(m.GetIncarnation()), m.GetAddress(), m.GetDomain(), m.GetHeartbeat())
+	}
+	return out
+}
--- /dev/null
+++ b/hibiscusprotocol/settings.go
@@ -0,0 +1,146 @@
+package hibiscusprotocol
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// Settings files are YAML, one for each process. Unknown names, missing values and bad addresses are errors that name the
+// file, and where the reader knows it the line and the column.
+
+const (
+	defaultDrainTime = 2 * time.Second
+	// minSecretBytes is the length below which a shared key is refused.
+	minSecretBytes = 16
+)
+
+type settingsFile struct {
+	CallerAddress   string   `yaml:"caller_address"`
+	SessionAddress  string   `yaml:"session_address"`
+	EndpointAddress string   `yaml:"endpoint_address"`
+	PlatformAddress string   `yaml:"platform_address"`
+	FailureDomain   string   `yaml:"failure_domain"`
+	SharedKey       string   `yaml:"shared_key"`
+	SeedEntries     []string `yaml:"seed_entries"`
+	DrainMS         *int64   `yaml:"drain_ms"`
+}
+
+// EntrySettings are the settings of an entry process.
+type EntrySettings struct {
+	file settingsFile
+}
+
+// AgentSettings are the settings of an agent process.
+type AgentSettings struct {
+	file settingsFile
+}
+
+// LoadEntrySettings reads and checks the settings file of an entry; its errors are marked ErrBadSettings.
+func LoadEntrySettings(path string) (EntrySettings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return EntrySettings{}, errors.Mark(err, ErrBadSettings)
+	}
+	return ParseEntrySettings(path, text)
+}
+
+// ParseEntrySettings checks the settings text of an entry; name stands for the file in errors, marked ErrBadSettings.
+func ParseEntrySettings(name string, text []byte) (EntrySettings, error) {
+	file, err := parseSettings(name, text)
+	if err != nil {
+		return EntrySettings{}, err
+	}
+	err = errors.CombineErrors(checkAddress(name, "caller_address", file.CallerAddress),
+		checkAddress(name, "session_address", file.SessionAddress))
+	return EntrySettings{file: file}, err
+}
+
+// LoadAgentSettings reads and checks the settings file of an agent; its errors are marked ErrBadSettings.
+func LoadAgentSettings(path string) (AgentSettings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return AgentSettings{}, errors.Mark(err, ErrBadSettings)
+	}
+	return ParseAgentSettings(path, text)
+}
+
+// ParseAgentSettings checks the settings text of an agent; name stands for the file in errors, marked ErrBadSettings.
+func ParseAgentSettings(name string, text []byte) (AgentSettings, error) {
+	file, err := parseSettings(name, text)
+	if err != nil {
+		return AgentSettings{}, err
+	}
+	return AgentSettings{file: file}, checkAddress(name, "endpoint_address", file.EndpointAddress)
+}
+
+func parseSettings(name string, text []byte) (settingsFile, error) {
+	var file settingsFile
+	if err := yaml.UnmarshalWithOptions(text, &file, yaml.Strict()); err != nil {
+		return file, errors.Mark(errors.Newf("%s: %s", name, yaml.FormatError(err, false, false)), ErrBadSettings)
+	}
+	if len(file.SharedKey) < minSecretBytes {
+		return file, errors.Mark(errors.Newf("%s: shared_key must have at least %d bytes", name, minSecretBytes), ErrBadSettings)
+	}
+	if file.FailureDomain == "" {
+		return file, errors.Mark(errors.Newf("%s: failure_domain is missing", name), ErrBadSettings)
+	}
+	for _, seed := range file.SeedEntries {
+		if err := checkAddress(name, "seed_entries", seed); err != nil {
+			return file, err
+		}
+	}
+	return file, nil
+}
+
+func checkAddress(name, field, address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return errors.Mark(errors.Newf("%s: %s: %q is not an IP address with a port, like 10.0.0.1:7000", name, field, address), ErrBadSettings)
+	}
+	return nil
+}
+
+// CallerAddress returns where callers reach the entry over HTTP.
+func (s EntrySettings) CallerAddress() string { return s.file.CallerAddress }
+
+// SessionAddress returns where agents and other entries open sessions.
+func (s EntrySettings) SessionAddress() string { return s.file.SessionAddress }
+
+// PlatformAddress returns where the platform's table service is, empty for none.
+func (s EntrySettings) PlatformAddress() string { return s.file.PlatformAddress }
+
+// FailureDomain returns the failure domain of the VM.
+func (s EntrySettings) FailureDomain() string { return s.file.FailureDomain }
+
+// Secret returns the key that all processes of the deployment share.
+func (s EntrySettings) Secret() []byte { return []byte(s.file.SharedKey) }
+
+// SeedEntries returns the session addresses of entries to start with.
+func (s EntrySettings) SeedEntries() []string { return s.file.SeedEntries }
+
+// DrainTime returns how long a stopping entry still takes jobs while the balancer notices.
+func (s EntrySettings) DrainTime() time.Duration {
+	if s.file.DrainMS == nil {
+		return defaultDrainTime
+	}
+	return milliseconds(*s.file.DrainMS)
+}
+
+// EndpointAddress returns where the endpoint announces itself to the agent.
+func (s AgentSettings) EndpointAddress() string { return s.file.EndpointAddress }
+
+// PlatformAddress returns where the platform's table service is, empty for none.
+func (s AgentSettings) PlatformAddress() string { return s.file.PlatformAddress }
+
+// FailureDomain returns the failure domain of the VM.
+func (s AgentSettings) FailureDomain() string { return s.file.FailureDomain }
+
+// Secret returns the key that all processes of the deployment share.
+func (s AgentSettings) Secret() []byte { return []byte(s.file.SharedKey) }
+
+// SeedEntries returns the session addresses of entries to start with.
+func (s AgentSettings) SeedEntries() []string { return s.file.SeedEntries }
--- /dev/null
+++ b/hibiscusstandin/pipe.go
@@ -0,0 +1,194 @@
+package hibiscusstandin
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A pipe carries the bytes of one direction of a connection: it buffers them, delivers them after a delay, and can swallow
+// them while the connection stays open. net.Pipe has no buffer, so that two ends that both write would wait for each
+// other, which TCP does not do.
+
+const pipeBytes = 1 << 20
+
+type pipe struct {
+	mu       sync.Mutex
+	chunks   []chunk
+	bytes    int
+	closed   bool
+	delay    time.Duration
+	silent   atomic.Bool
+	changed  chan struct{}
+	deadline time.Time
+}
+
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+func newPipe(delay time.Duration) *pipe { return &pipe{delay: delay, changed: make(chan struct{})} }
+
+// wake tells all waiting ends that something changed; the caller holds the lock.
+func (p *pipe) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *pipe) write(b []byte) (int, error) {
+	for {
+		p.mu.Lock()
+		if p.closed {
+			p.mu.Unlock()
+			return 0, io.ErrClosedPipe
+		}
+		if p.silent.Load() {
+			p.mu.Unlock()
+			return len(b), nil
+		}
+		if p.bytes < pipeBytes {
+			p.chunks = append(p.chunks, chunk{data: append([]byte(nil), b...), due: time.Now().Add(p.delay)})
+			p.bytes += len(b)
+			p.wake()
+			p.mu.Unlock()
+			return len(b), nil
+		}
+		changed := p.changed
+		p.mu.Unlock()
+		<-changed
+	}
+}
+
+func (p *pipe) read(b []byte) (int, error) {
+	for {
+		p.mu.Lock()
+		now := time.Now()
+		if !p.deadline.IsZero() && !now.Before(p.deadline) {
+			p.mu.Unlock()
+			return 0, os.ErrDeadlineExceeded
+		}
+		wait := time.Duration(-1)
+		if !p.deadline.IsZero() {
+			wait = p.deadline.Sub(now)
+		}
+		if len(p.chunks) > 0 && !p.silent.Load() {
+			first := &p.chunks[0]
+			if !now.Before(first.due) {
+				n := copy(b, first.data)
+				first.data = first.data[n:]
+				p.bytes -= n
+				if len(first.data) == 0 {
+					p.chunks = p.chunks[1:]
+				}
+				p.wake()
+				p.mu.Unlock()
+				return n, nil
+			}
+			if until := first.due.Sub(now); wait < 0 || until < wait {
+				wait = until
+			}
+		} else if p.closed {
+			p.mu.Unlock()
+			return 0, io.EOF
+		}
+		changed := p.changed
+		p.mu.Unlock()
+		p.await(changed, wait)
+	}
+}
+
+func (p *pipe) await(changed chan struct{}, wait time.Duration) {
+	if wait < 0 {
+		<-changed
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+func (p *pipe) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.closed = true
+		p.wake()
+	}
+}
+
+func (p *pipe) setDeadline(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deadline = t
+	p.wake()
+}
+
+// link is one connection: two pipes and two ends.
+type link struct {
+	address string
+	up      *pipe
+	down    *pipe
+}
+
+func (k *link) open(address net.Addr, delay time.Duration) (dialerEnd, listenerEnd net.Conn) {
+	k.up = newPipe(delay)
+	k.down = newPipe(delay)
+	return &memoryConn{in: k.down, out: k.up, address: address}, &memoryConn{in: k.up, out: k.down, address: address}
+}
+
+func (k *link) cut() {
+	k.up.close()
+	k.down.close()
+}
+
+func (k *link) closed() bool {
+	k.up.mu.Lock()
+	defer k.up.mu.Unlock()
+	return k.up.closed
+}
+
+type memoryConn struct {
+	in      *pipe
+	out     *pipe
+	address net.Addr
+}
+
+// Read implements net.Conn.
+func (c *memoryConn) Read(b []byte) (int, error) { return c.in.read(b) }
+
+// Write implements net.Conn.
+func (c *memoryConn) Write(b []byte) (int, error) { return c.out.write(b) }
+
+// Close implements net.Conn; like that of TCP it is not seen by the other end while the connection is silent.
+func (c *memoryConn) Close() error {
+	if !c.out.silent.Load() {
+		c.out.close()
+	}
+	c.in.close()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *memoryConn) LocalAddr() net.Addr { return c.address }
+
+// RemoteAddr implements net.Conn.
+func (c *memoryConn) RemoteAddr() net.Addr { return c.address }
+
+// SetDeadline implements net.Conn; only reads wait long enough to need one.
+func (c *memoryConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetReadDeadline implements net.Conn.
+func (c *memoryConn) SetReadDeadline(t time.Time) error {
+	c.in.setDeadline(t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn; writes go to a buffer.
+func (c *memoryConn) SetWriteDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/hibiscusstate/agent_task.go
@@ -0,0 +1,145 @@
+package hibiscusstate
+
+import (
+	"container/list"
+	"time"
+)
+
+// AgentTask is an agent's record of a task that it took.
+type AgentTask struct {
+	order     Order
+	entry     Incarnation
+	status    TaskStatus
+	slot      int
+	takenAt   time.Time
+	startedAt time.Time
+	doneAt    time.Time
+	report    Report
+	element   *list.Element
+}
+
+// NewAgentTask returns the record of an order from an entry, taken at now.
+func NewAgentTask(order Order, entry Incarnation, now time.Time) *AgentTask {
+	return &AgentTask{order: order, entry: entry, status: StatusWaiting, slot: -1, takenAt: now}
+}
+
+// Order returns the order.
+func (t *AgentTask) Order() Order { return t.order }
+
+// Entry returns the incarnation of the entry that gave the order.
+func (t *AgentTask) Entry() Incarnation { return t.entry }
+
+// Status returns where the task is.
+func (t *AgentTask) Status() TaskStatus { return t.status }
+
+// Slot returns the slot that runs the task, -1 for none.
+func (t *AgentTask) Slot() int { return t.slot }
+
+// TakenAt returns when the agent took the task.
+func (t *AgentTask) TakenAt() time.Time { return t.takenAt }
+
+// StartedAt returns when the endpoint got the task.
+func (t *AgentTask) StartedAt() time.Time { return t.startedAt }
+
+// Report returns the final report of a task that is done.
+func (t *AgentTask) Report() Report { return t.report }
+
+// Start records that slot runs the task from now on.
+func (t *AgentTask) Start(slot int, now time.Time) {
+	t.status = StatusRunning
+	t.slot = slot
+	t.startedAt = now
+}
+
+// Finish records the final report and drops the payload.
+func (t *AgentTask) Finish(report Report, now time.Time) {
+	t.status = StatusDone
+	t.report = report
+	t.doneAt = now
+	t.slot = -1
+	t.order.payload = nil
+}
+
+// AgentTasks keeps an agent's records by task and by job.
+//
+// Records of done tasks stay for recovery after their entry died, until they are too old or hold too many bytes.
+type AgentTasks struct {
+	byID      map[TaskID]*AgentTask
+	byJob     map[SubmissionKey][]*AgentTask
+	done      *list.List
+	bytes     int
+	retention time.Duration
+	maxBytes  int
+}
+
+// recordBytes is what one record costs besides its result.
+const recordBytes = 400
+
+// NewAgentTasks returns an empty store that keeps done tasks for a retention time and within a number of bytes.
+func NewAgentTasks(retention time.Duration, maxBytes int) *AgentTasks {
+	return &AgentTasks{
+		byID: map[TaskID]*AgentTask{}, byJob: map[SubmissionKey][]*AgentTask{}, done: list.New(),
+		retention: retention, maxBytes: maxBytes,
+	}
+}
+
+// Len returns the number of records.
+func (s *AgentTasks) Len() int { return len(s.byID) }
+
+// Bytes returns the size of the results that the store holds.
+func (s *AgentTasks) Bytes() int { return s.bytes }
+
+// Get returns the record of a task, nil for none.
+func (s *AgentTasks) Get(id TaskID) *AgentTask { return s.byID[id] }
+
+// OfJob returns the records of a job's tasks.
+func (s *AgentTasks) OfJob(key SubmissionKey) []*AgentTask { return s.byJob[key] }
+
+// Add stores the record of a task that was just taken.
+func (s *AgentTasks) Add(t *AgentTask) {
+	s.byID[t.order.try.id] = t
+	s.byJob[t.order.try.id.key] = append(s.byJob[t.order.try.id.key], t)
+}
+
+// Drop forgets a task that was not started.
+func (s *AgentTasks) Drop(t *AgentTask) { s.remove(t) }
+
+// Done accounts for a task whose Finish was called, and evicts records past the bounds.
+func (s *AgentTasks) Done(t *AgentTask, now time.Time) {
+	t.element = s.done.PushBack(t)
+	s.bytes += len(t.report.output) + recordBytes
+	s.Evict(now)
+}
+
+// Evict forgets the records that are past their time or past the bound on bytes, oldest first.
+func (s *AgentTasks) Evict(now time.Time) {
+	for e := s.done.Front(); e != nil; e = s.done.Front() {
+		t := e.Value.(*AgentTask)
+		if now.Sub(t.doneAt) <= s.retention && s.bytes <= s.maxBytes {
+			return
+		}
+		s.remove(t)
+	}
+}
+
+func (s *AgentTasks) remove(t *AgentTask) {
+	delete(s.byID, t.order.try.id)
+	records := s.byJob[t.order.try.id.key]
+	for i, other := range records {
+		if other == t {
+			records[i] = records[len(records)-1]
+			records = records[:len(records)-1]
+			break
+		}
+	}
+	if len(records) == 0 {
+		delete(s.byJob, t.order.try.id.key)
+	} else {
+		s.byJob[t.order.try.id.key] = records
+	}
+	if t.element != nil {
+		s.done.Remove(t.element)
+		t.element = nil
+		s.bytes -= len(t.report.output) + recordBytes
+	}
+}
--- /dev/null
+++ b/hibiscusstate/bounded_set.go
@@ -0,0 +1,38 @@
+package hibiscusstate
+
+// BoundedSet is a set that forgets its oldest values past a bound.
+type BoundedSet[T comparable] struct {
+	values map[T]struct{}
+	order  []T
+	next   int
+	limit  int
+}
+
+// NewBoundedSet returns an empty set for limit values.
+func NewBoundedSet[T comparable](limit int) *BoundedSet[T] {
+	return &BoundedSet[T]{values: map[T]struct{}{}, limit: max(limit, 1)}
+}
+
+// Add puts v into the set and forgets the oldest value when the set is full.
+func (s *BoundedSet[T]) Add(v T) {
+	if s.Has(v) {
+		return
+	}
+	s.values[v] = struct{}{}
+	if len(s.order) < s.limit {
+		s.order = append(s.order, v)
+		return
+	}
+	delete(s.values, s.order[s.next])
+	s.order[s.next] = v
+	s.next = (s.next + 1) % s.limit
+}
+
+// Has says whether v is in the set.
+func (s *BoundedSet[T]) Has(v T) bool {
+	_, ok := s.values[v]
+	return ok
+}
+
+// Len returns the number of values.
+func (s *BoundedSet[T]) Len() int { return len(s.values) }
--- /dev/null
+++ b/hibiscusstate/configuration.go
@@ -0,0 +1,142 @@
+package hibiscusstate
+
+import (
+	"slices"
+	"time"
+)
+
+// Document is what the operators' text says: services with their kinds and dependencies, and teams with their quotas.
+type Document struct {
+	services []Service
+	teams    []Team
+}
+
+// NewDocument returns a document; the order is that of the text.
+func NewDocument(services []Service, teams []Team) *Document {
+	return &Document{services: services, teams: teams}
+}
+
+// Services returns the services in the order of the text.
+func (d *Document) Services() []Service { return d.services }
+
+// Teams returns the teams in the order of the text.
+func (d *Document) Teams() []Team { return d.teams }
+
+// Service returns the service with the given name.
+func (d *Document) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(d.services, func(s Service) bool { return s.name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return d.services[i], true
+}
+
+// Team returns the team with the given name.
+func (d *Document) Team(name string) (Team, bool) {
+	i := slices.IndexFunc(d.teams, func(t Team) bool { return t.name == name })
+	if i < 0 {
+		return Team{}, false
+	}
+	return d.teams[i], true
+}
+
+// Service is one service of a document.
+type Service struct {
+	name      string
+	dependsOn []string
+	kinds     []Kind
+}
+
+// NewService returns a service with its dependencies and kinds.
+func NewService(name string, dependsOn []string, kinds []Kind) Service {
+	return Service{name: name, dependsOn: dependsOn, kinds: kinds}
+}
+
+// Name returns the name of the service.
+func (s Service) Name() string { return s.name }
+
+// DependsOn returns the names of the services that this one needs.
+func (s Service) DependsOn() []string { return s.dependsOn }
+
+// Kinds returns the kinds of tasks that the service accepts.
+func (s Service) Kinds() []Kind { return s.kinds }
+
+// Kind returns the kind with the given name.
+func (s Service) Kind(name string) (Kind, bool) {
+	i := slices.IndexFunc(s.kinds, func(k Kind) bool { return k.name == name })
+	if i < 0 {
+		return Kind{}, false
+	}
+	return s.kinds[i], true
+}
+
+// Kind is one kind of tasks of a service.
+type Kind struct {
+	name       string
+	idempotent bool
+	urgent     bool
+	runTime    time.Duration
+	deadline   time.Duration
+}
+
+// NewKind returns a kind with its declared run time and its default deadline.
+func NewKind(name string, idempotent, urgent bool, runTime, deadline time.Duration) Kind {
+	return Kind{name: name, idempotent: idempotent, urgent: urgent, runTime: runTime, deadline: deadline}
+}
+
+// Name returns the name of the kind.
+func (k Kind) Name() string { return k.name }
+
+// Idempotent says whether a caller may safely submit a task of this kind again under a new key.
+func (k Kind) Idempotent() bool { return k.idempotent }
+
+// Urgent says whether operators marked the kind as urgent.
+func (k Kind) Urgent() bool { return k.urgent }
+
+// RunTime returns the declared run time.
+func (k Kind) RunTime() time.Duration { return k.runTime }
+
+// Deadline returns the time that a job gets when its submission names no deadline.
+func (k Kind) Deadline() time.Duration { return k.deadline }
+
+// Team is one customer of the platform with its quota.
+type Team struct {
+	name      string
+	share     int
+	maxQueued int
+}
+
+// NewTeam returns a team with its weight and the number of its tasks that may wait at one entry.
+func NewTeam(name string, share, maxQueued int) Team {
+	return Team{name: name, share: share, maxQueued: maxQueued}
+}
+
+// Name returns the name of the team.
+func (t Team) Name() string { return t.name }
+
+// Share returns the weight of the team when teams compete.
+func (t Team) Share() int { return t.share }
+
+// MaxQueued returns how many tasks of the team may wait at one entry.
+func (t Team) MaxQueued() int { return t.maxQueued }
+
+// Configuration is an accepted version of the operators' text.
+type Configuration struct {
+	version  uint64
+	text     string
+	document *Document
+}
+
+// NewConfiguration returns a version of the text with its parsed document.
+func NewConfiguration(version uint64, text string, document *Document) *Configuration {
+	return &Configuration{version: version, text: text, document: document}
+}
+
+// Version returns the number of the version, from one.
+func (c *Configuration) Version() uint64 { return c.version }
+
+// Text returns the operators' text.
+func (c *Configuration) Text() string { return c.text }
+
+// Document returns the parsed text.
+func (c *Configuration) Document() *Document { return c.document }
--- a/hibiscusstate/enum.go
+++ b/hibiscusstate/enum.go
@@ -31,27 +31,27 @@
 
 // The reasons for a refusal; all but RefusalOutcomeUnknown and RefusalKeyExpired are certain to be not run.
 const (
-	RefusalNone              Refusal = iota // none
-	RefusalBadRequest                       // bad_request
-	RefusalUnknownService                   // unknown_service
-	RefusalUnknownKind                      // unknown_kind
-	RefusalUnknownTeam                      // unknown_team
-	RefusalTooManyTasks                     // too_many_tasks
-	RefusalBodyTooLarge                     // body_too_large
-	RefusalDeadlinePassed                   // deadline_passed
-	RefusalKeyNotIssued                     // key_not_issued
-	RefusalKeyReused                        // key_reused
-	RefusalKeyExpired                       // key_expired
-	RefusalQueueFull                        // queue_full
-	RefusalOverQuota                        // over_quota
-	RefusalTooLate                          // too_late
-	RefusalRetryBudget                      // retry_budget
-	RefusalDependencyDown                   // dependency_down
-	RefusalNoWorkers                        // no_workers
-	RefusalDraining                         // draining
-	RefusalNotReady                         // not_ready
-	RefusalUnknownJob                       // unknown_job
-	RefusalOutcomeUnknown                   // outcome_unknown
+	RefusalNone           Refusal = iota // none
+	RefusalBadRequest                    // bad_request
+	RefusalUnknownService                // unknown_service
+	RefusalUnknownKind                   // unknown_kind
+	RefusalUnknownTeam                   // unknown_team
+	RefusalTooManyTasks                  // too_many_tasks
+	RefusalBodyTooLarge                  // body_too_large
+	RefusalDeadlinePassed                // deadline_passed
+	RefusalKeyNotIssued                  // key_not_issued
+	RefusalKeyReused                     // key_reused
+	RefusalKeyExpired                    // key_expired
+	RefusalQueueFull                     // queue_full
+	RefusalOverQuota                     // over_quota
+	RefusalTooLate                       // too_late
+	RefusalRetryBudget                   // retry_budget
+	RefusalDependencyDown                // dependency_down
+	RefusalNoWorkers                     // no_workers
+	RefusalDraining                      // draining
+	RefusalNotReady                      // not_ready
+	RefusalUnknownJob                    // unknown_job
+	RefusalOutcomeUnknown                // outcome_unknown
 )
 
 // Rejection is the reason why an agent did not take a task; every rejection means that the task was not run.
@@ -70,6 +70,7 @@
 	RejectionEndpointDown                  // endpoint_down
 	RejectionEndpointBusy                  // endpoint_busy
 	RejectionExpired                       // expired
+	RejectionStopped                       // stopped
 )
 
 // Health says whether a worker gets tasks.
--- /dev/null
+++ b/hibiscusstate/job.go
@@ -0,0 +1,246 @@
+package hibiscusstate
+
+import "time"
+
+// A Job is one submission at the entry that holds its record; a Task is one unit of its work. Outcomes are final once
+// set: a second result for a task changes nothing, which is what makes repeated and crossed results harmless.
+
+// TaskPhase says where the entry believes a task to be.
+type TaskPhase int
+
+// The phases of a task at its entry.
+const (
+	// PhaseQueued means that no agent has the task.
+	PhaseQueued TaskPhase = iota
+	// PhaseSent means that the task was given to an agent, so that it may have started.
+	PhaseSent
+	// PhaseUnsettled means that the session to the agent was lost after the task was given to it.
+	PhaseUnsettled
+	// PhaseDone means that the outcome is final.
+	PhaseDone
+)
+
+// Task is one unit of work of a job.
+type Task struct {
+	id       TaskID
+	job      *Job
+	kind     string
+	payload  []byte
+	declared time.Duration
+	expected time.Duration
+	long     bool
+
+	phase   TaskPhase
+	worker  Incarnation
+	sentAt  time.Time
+	moves   int
+	outcome Outcome
+	output  []byte
+	reason  string
+	runTime time.Duration
+}
+
+// ID returns the task's id.
+func (t *Task) ID() TaskID { return t.id }
+
+// Job returns the job that the task belongs to.
+func (t *Task) Job() *Job { return t.job }
+
+// Kind returns the name of the task's kind.
+func (t *Task) Kind() string { return t.kind }
+
+// Payload returns the bytes that the endpoint gets.
+func (t *Task) Payload() []byte { return t.payload }
+
+// Declared returns the run time that the caller declared, zero for none.
+func (t *Task) Declared() time.Duration { return t.declared }
+
+// Expected returns the predicted run time.
+func (t *Task) Expected() time.Duration { return t.expected }
+
+// Long says whether the task is predicted to be much longer than the service's usual task.
+func (t *Task) Long() bool { return t.long }
+
+// SetExpected sets the predicted run time and whether that is long for the service.
+func (t *Task) SetExpected(expected time.Duration, long bool) {
+	t.expected = expected
+	t.long = long
+}
+
+// Phase returns where the entry believes the task to be.
+func (t *Task) Phase() TaskPhase { return t.phase }
+
+// Worker returns the incarnation of the agent that the task was last given to.
+func (t *Task) Worker() Incarnation { return t.worker }
+
+// SentAt returns when the task was last given to an agent.
+func (t *Task) SentAt() time.Time { return t.sentAt }
+
+// Try returns the try that the task is on.
+func (t *Task) Try() TaskTry { return NewTaskTry(t.id, t.moves) }
+
+// Moves returns how often the task came back as not run from an agent.
+func (t *Task) Moves() int { return t.moves }
+
+// Outcome returns what is known about the task.
+func (t *Task) Outcome() Outcome { return t.outcome }
+
+// Output returns the endpoint's answer of a finished task.
+func (t *Task) Output() []byte { return t.output }
+
+// Reason returns why the task did not finish, in one short sentence.
+func (t *Task) Reason() string { return t.reason }
+
+// RunTime returns the run time that the agent measured.
+func (t *Task) RunTime() time.Duration { return t.runTime }
+
+// MarkSent records that the task was given to worker at now.
+func (t *Task) MarkSent(worker Incarnation, now time.Time) {
+	t.phase = PhaseSent
+	t.worker = worker
+	t.sentAt = now
+}
+
+// MarkUnsettled records that the session to the task's worker was lost.
+func (t *Task) MarkUnsettled() { t.phase = PhaseUnsettled }
+
+// MarkReturned records that the task is known not to have started and waits for a worker again.
+func (t *Task) MarkReturned() {
+	t.phase = PhaseQueued
+	t.moves++
+}
+
+// Resolve sets the final outcome and says whether it was the first one; later ones are ignored.
+func (t *Task) Resolve(outcome Outcome, output []byte, reason string, runTime time.Duration) bool {
+	if t.phase == PhaseDone {
+		return false
+	}
+	t.phase = PhaseDone
+	t.outcome = outcome
+	t.output = output
+	t.reason = reason
+	t.runTime = runTime
+	t.payload = nil
+	t.job.pending--
+	t.job.bytes += len(output)
+	if outcome != OutcomeFinished {
+		t.job.unfinished++
+	}
+	return true
+}
+
+// Job is one submission and its tasks.
+type Job struct {
+	key         SubmissionKey
+	digest      uint64
+	team        string
+	service     string
+	submittedAt time.Time
+	deadline    time.Time
+	tasks       []Task
+	pending     int
+	unfinished  int
+	cancelled   bool
+	state       JobState
+	finishedAt  time.Time
+	bytes       int
+}
+
+// NewJob returns a running job without tasks.
+func NewJob(key SubmissionKey, digest uint64, team, service string, submittedAt, deadline time.Time) *Job {
+	return &Job{key: key, digest: digest, team: team, service: service, submittedAt: submittedAt, deadline: deadline}
+}
+
+// AddTasks appends a task for each specification; it must be called once, before the job is shared.
+func (j *Job) AddTasks(specs []TaskSpec) {
+	j.tasks = make([]Task, len(specs))
+	for i := range specs {
+		s := &specs[i]
+		j.tasks[i] = Task{id: NewTaskID(j.key, i), job: j, kind: s.kind, payload: s.payload, declared: s.declared}
+		j.bytes += len(s.payload)
+	}
+	j.pending = len(specs)
+}
+
+// Key returns the submission key of the job.
+func (j *Job) Key() SubmissionKey { return j.key }
+
+// Digest returns the first eight bytes of the SHA-256 of the submitted body.
+func (j *Job) Digest() uint64 { return j.digest }
+
+// Team returns the name of the submitting team.
+func (j *Job) Team() string { return j.team }
+
+// Service returns the name of the service that runs the job.
+func (j *Job) Service() string { return j.service }
+
+// SubmittedAt returns when the job was admitted.
+func (j *Job) SubmittedAt() time.Time { return j.submittedAt }
+
+// Deadline returns when the answer is due.
+func (j *Job) Deadline() time.Time { return j.deadline }
+
+// Len returns the number of tasks.
+func (j *Job) Len() int { return len(j.tasks) }
+
+// Task returns the task at index i, from zero.
+func (j *Job) Task(i int) *Task { return &j.tasks[i] }
+
+// Pending returns the number of tasks without a final outcome.
+func (j *Job) Pending() int { return j.pending }
+
+// Unfinished returns the number of tasks whose final outcome is other than finished.
+func (j *Job) Unfinished() int { return j.unfinished }
+
+// Cancelled says whether the caller cancelled the job.
+func (j *Job) Cancelled() bool { return j.cancelled }
+
+// Cancel records that the caller cancelled the job.
+func (j *Job) Cancel() { j.cancelled = true }
+
+// State returns how far the job is.
+func (j *Job) State() JobState { return j.state }
+
+// FinishedAt returns when the state became final.
+func (j *Job) FinishedAt() time.Time { return j.finishedAt }
+
+// Bytes returns the size of the payloads and outputs that the record holds.
+func (j *Job) Bytes() int { return j.bytes }
+
+// Finish sets the final state when no task is pending, and says whether it did.
+func (j *Job) Finish(now time.Time) bool {
+	if j.pending > 0 || j.state != JobRunning {
+		return false
+	}
+	j.finishedAt = now
+	switch {
+	case j.cancelled:
+		j.state = JobCancelled
+	case j.unfinished > 0:
+		j.state = JobFailed
+	default:
+		j.state = JobComplete
+	}
+	return true
+}
+
+// TaskSpec is what a caller submits for one task.
+type TaskSpec struct {
+	kind     string
+	payload  []byte
+	declared time.Duration
+}
+
+// NewTaskSpec returns a specification; declared is the caller's guess of the run time, zero for none.
+func NewTaskSpec(kind string, payload []byte, declared time.Duration) TaskSpec {
+	return TaskSpec{kind: kind, payload: payload, declared: declared}
+}
+
+// Kind returns the name of the task's kind.
+func (s TaskSpec) Kind() string { return s.kind }
+
+// Payload returns the bytes that the endpoint gets.
+func (s TaskSpec) Payload() []byte { return s.payload }
+
+// Declared returns the declared run time, zero for none.
+func (s TaskSpec) Declared() time.Duration { return s.declared }
--- a/hibiscusstate/key.go
+++ b/hibiscusstate/key.go
@@ -60,6 +60,22 @@
 // Index returns the position of the task in its job, from zero.
 func (t TaskID) Index() int { return t.index }
 
+// TaskTry is one try of an entry to have a task taken by an agent. A task gets another try only after the one before is
+// known not to have started, and reports of earlier tries are ignored.
+type TaskTry struct {
+	id     TaskID
+	number int
+}
+
+// NewTaskTry returns the try of a task with the given number, from zero.
+func NewTaskTry(id TaskID, number int) TaskTry { return TaskTry{id: id, number: number} }
+
+// ID returns the id of the task.
+func (t TaskTry) ID() TaskID { return t.id }
+
+// Number returns how many tries came before this one.
+func (t TaskTry) Number() int { return t.number }
+
 // KeySigner turns submission keys into texts that callers can't forge, and back.
 type KeySigner struct {
 	secret []byte
@@ -121,22 +137,21 @@
 	return sequence
 }
 
-// MarkUsed records the use of a sequence number and says whether it is the first; it returns ErrKeyNotIssued for a number
-// that was never issued, and ErrKeyExpired for one that left the window.
-func (w *KeyWindow) MarkUsed(sequence uint64) (first bool, err error) {
+// Used says whether a sequence number was used; it returns ErrKeyNotIssued for a number that was never issued, and
+// ErrKeyExpired for one that left the window.
+func (w *KeyWindow) Used(sequence uint64) (bool, error) {
 	if sequence >= w.next {
 		return false, ErrKeyNotIssued
 	}
 	if w.next-sequence > keyWindow {
 		return false, ErrKeyExpired
 	}
-	if w.used[w.word(sequence)]&w.bit(sequence) != 0 {
-		return false, nil
-	}
-	w.used[w.word(sequence)] |= w.bit(sequence)
-	return true, nil
+	return w.used[w.word(sequence)]&w.bit(sequence) != 0, nil
 }
 
+// MarkUsed records the use of a sequence number that Used accepts.
+func (w *KeyWindow) MarkUsed(sequence uint64) { w.used[w.word(sequence)] |= w.bit(sequence) }
+
 func (w *KeyWindow) word(sequence uint64) uint64 { return sequence % keyWindow / 64 }
 
 func (w *KeyWindow) bit(sequence uint64) uint64 { return 1 << (sequence % 64) }
--- /dev/null
+++ b/hibiscusstate/order.go
@@ -0,0 +1,169 @@
+package hibiscusstate
+
+import "time"
+
+// An Order is a task on its way from an entry to an agent, a Report is what the agent says about it.
+
+//go:generate stringer -type=TaskStatus -linecomment -output=order_string.go
+
+// TaskStatus says where a task is at an agent.
+type TaskStatus int
+
+// The states of a task at an agent.
+const (
+	StatusNeverReceived TaskStatus = iota // never_received
+	StatusWaiting                         // waiting
+	StatusRunning                         // running
+	StatusDone                            // done
+	StatusRejected                        // rejected
+)
+
+// Order is a task as an agent gets it.
+type Order struct {
+	try       TaskTry
+	count     int
+	digest    uint64
+	kind      string
+	payload   []byte
+	budget    time.Duration
+	lease     uint64
+	mayWait   bool
+	waitLimit time.Duration
+}
+
+// NewOrder returns an order for a try of a task of a job with count tasks and the given body digest.
+func NewOrder(try TaskTry, count int, digest uint64, kind string, payload []byte) Order {
+	return Order{try: try, count: count, digest: digest, kind: kind, payload: payload}
+}
+
+// WithBudget returns the order with the time that is left until the job's deadline.
+func (o Order) WithBudget(budget time.Duration) Order {
+	o.budget = budget
+	return o
+}
+
+// WithLease returns the order with the lease epoch under which the agent may take it.
+func (o Order) WithLease(epoch uint64) Order {
+	o.lease = epoch
+	return o
+}
+
+// WithWait returns the order with leave to wait for a slot, for at most limit.
+func (o Order) WithWait(limit time.Duration) Order {
+	o.mayWait = limit > 0
+	o.waitLimit = limit
+	return o
+}
+
+// ID returns the id of the task.
+func (o Order) ID() TaskID { return o.try.id }
+
+// Try returns the try that the order is.
+func (o Order) Try() TaskTry { return o.try }
+
+// Count returns the number of tasks of the job.
+func (o Order) Count() int { return o.count }
+
+// Digest returns the digest of the job's body.
+func (o Order) Digest() uint64 { return o.digest }
+
+// Kind returns the kind of the task.
+func (o Order) Kind() string { return o.kind }
+
+// Payload returns the bytes for the endpoint.
+func (o Order) Payload() []byte { return o.payload }
+
+// Budget returns the time that was left until the deadline when the order was sent.
+func (o Order) Budget() time.Duration { return o.budget }
+
+// Lease returns the lease epoch of the order.
+func (o Order) Lease() uint64 { return o.lease }
+
+// MayWait says whether the agent may keep the task waiting for a slot.
+func (o Order) MayWait() bool { return o.mayWait }
+
+// WaitLimit returns how long the task may wait at the agent.
+func (o Order) WaitLimit() time.Duration { return o.waitLimit }
+
+// Report is what an agent says about one task.
+type Report struct {
+	try       TaskTry
+	status    TaskStatus
+	outcome   Outcome
+	rejection Rejection
+	output    []byte
+	reason    string
+	runTime   time.Duration
+	count     int
+	digest    uint64
+	others    int
+	waiting   int
+	lease     uint64
+}
+
+// NewStatusReport returns a report of a task that has no outcome yet, or that the agent never received.
+func NewStatusReport(try TaskTry, status TaskStatus) Report { return Report{try: try, status: status} }
+
+// NewRejection returns a report of a task that was not run.
+func NewRejection(try TaskTry, rejection Rejection) Report {
+	return Report{try: try, status: StatusRejected, outcome: OutcomeNotRun, rejection: rejection}
+}
+
+// NewResult returns a report of a task that was started.
+func NewResult(try TaskTry, outcome Outcome, output []byte, reason string, runTime time.Duration) Report {
+	return Report{try: try, status: StatusDone, outcome: outcome, output: output, reason: reason, runTime: runTime}
+}
+
+// WithJob returns the report with the size and the body digest of the task's job.
+func (r Report) WithJob(count int, digest uint64) Report {
+	r.count = count
+	r.digest = digest
+	return r
+}
+
+// WithLoad returns the report with the agent's load: tasks of other entries, waiting tasks, and the lease epoch.
+func (r Report) WithLoad(others, waiting int, lease uint64) Report {
+	r.others = others
+	r.waiting = waiting
+	r.lease = lease
+	return r
+}
+
+// ID returns the id of the task.
+func (r Report) ID() TaskID { return r.try.id }
+
+// Try returns the try of the task that the report is about.
+func (r Report) Try() TaskTry { return r.try }
+
+// Status returns where the task is.
+func (r Report) Status() TaskStatus { return r.status }
+
+// Outcome returns what is known about the task.
+func (r Report) Outcome() Outcome { return r.outcome }
+
+// Rejection returns why the task was not taken.
+func (r Report) Rejection() Rejection { return r.rejection }
+
+// Output returns the endpoint's answer.
+func (r Report) Output() []byte { return r.output }
+
+// Reason returns why the task failed, in one short sentence.
+func (r Report) Reason() string { return r.reason }
+
+// RunTime returns how long the endpoint took.
+func (r Report) RunTime() time.Duration { return r.runTime }
+
+// Count returns the number of tasks of the job.
+func (r Report) Count() int { return r.count }
+
+// Digest returns the body digest of the job.
+func (r Report) Digest() uint64 { return r.digest }
+
+// Others returns how many tasks of other entries the agent has, running and waiting.
+func (r Report) Others() int { return r.others }
+
+// Waiting returns how many tasks wait at the agent.
+func (r Report) Waiting() int { return r.waiting }
+
+// Lease returns the lease epoch that the agent grants to the entry now.
+func (r Report) Lease() uint64 { return r.lease }
--- /dev/null
+++ b/hibiscusstate/queue.go
@@ -0,0 +1,209 @@
+package hibiscusstate
+
+import (
+	"container/heap"
+	"time"
+)
+
+// FairQueue holds the tasks of one service that no agent has yet.
+//
+// Teams share the service by weighted fair queueing: each team has a virtual time that advances by the expected run time
+// of what it sends divided by its share, and the team that is furthest behind goes next. A share orders only what waits,
+// so an unused share is lent to the others and taken back with the next task of its owner. Within a team the earliest
+// deadline goes first, in two classes: when long work holds its cap of slots, only the short class is served.
+//
+// Cancelled tasks stay in the heaps and are skipped when they reach the head, so a wave of cancellations scans nothing.
+type FairQueue struct {
+	teams   map[string]*teamQueue
+	active  []*teamQueue
+	virtual time.Duration
+	waiting int
+	work    time.Duration
+}
+
+type teamQueue struct {
+	name    string
+	share   int
+	virtual time.Duration
+	classes [2]taskHeap
+	waiting int
+	work    time.Duration
+	active  bool
+}
+
+const (
+	classShort = 0
+	classLong  = 1
+)
+
+// NewFairQueue returns an empty queue.
+func NewFairQueue() *FairQueue { return &FairQueue{teams: map[string]*teamQueue{}} }
+
+// SetShare sets the weight of a team; a weight below one counts as one.
+func (q *FairQueue) SetShare(team string, share int) { q.team(team).share = max(share, 1) }
+
+// Len returns the number of tasks that wait, without the cancelled ones.
+func (q *FairQueue) Len() int { return q.waiting }
+
+// TeamLen returns the number of tasks of a team that wait.
+func (q *FairQueue) TeamLen(team string) int {
+	t := q.teams[team]
+	if t == nil {
+		return 0
+	}
+	return t.waiting
+}
+
+// Work returns the sum of the expected run times of the waiting tasks.
+func (q *FairQueue) Work() time.Duration { return q.work }
+
+// TeamWork returns the sum of the expected run times of a team's waiting tasks.
+func (q *FairQueue) TeamWork(team string) time.Duration {
+	t := q.teams[team]
+	if t == nil {
+		return 0
+	}
+	return t.work
+}
+
+// TeamShare returns the fraction of the service that a team is due among the teams that wait now, itself included.
+func (q *FairQueue) TeamShare(team string) float64 {
+	own := q.team(team)
+	sum := 0
+	for _, t := range q.active {
+		if t != own {
+			sum += t.share
+		}
+	}
+	return float64(own.share) / float64(sum+own.share)
+}
+
+// Push adds a task that is in PhaseQueued.
+func (q *FairQueue) Push(t *Task) {
+	team := q.team(t.job.team)
+	class := classShort
+	if t.long {
+		class = classLong
+	}
+	heap.Push(&team.classes[class], t)
+	team.waiting++
+	team.work += t.expected
+	q.waiting++
+	q.work += t.expected
+	if !team.active {
+		// A team that was idle starts at the queue's virtual time: idle time earns no credit.
+		team.virtual = max(team.virtual, q.virtual)
+		team.active = true
+		q.active = append(q.active, team)
+	}
+}
+
+// Forget takes a queued task that got its final outcome out of the counts; the heaps drop it later.
+func (q *FairQueue) Forget(t *Task) { q.uncount(q.team(t.job.team), t) }
+
+// Pop takes the next task, without long ones unless allowLong; it returns nil when there is none.
+func (q *FairQueue) Pop(allowLong bool) *Task {
+	var best *teamQueue
+	var bestTask *Task
+	for i := 0; i < len(q.active); {
+		team := q.active[i]
+		head := team.head(allowLong)
+		if head == nil && team.classes[classShort].Len()+team.classes[classLong].Len() == 0 {
+			team.active = false
+			last := len(q.active) - 1
+			q.active[i] = q.active[last]
+			q.active = q.active[:last]
+			continue
+		}
+		if head != nil && (best == nil || team.virtual < best.virtual) {
+			best = team
+			bestTask = head
+		}
+		i++
+	}
+	if best == nil {
+		return nil
+	}
+	class := classShort
+	if bestTask.long {
+		class = classLong
+	}
+	heap.Pop(&best.classes[class])
+	q.uncount(best, bestTask)
+	q.virtual = best.virtual
+	best.virtual += bestTask.expected / time.Duration(best.share)
+	return bestTask
+}
+
+func (q *FairQueue) uncount(team *teamQueue, t *Task) {
+	team.waiting--
+	team.work -= t.expected
+	q.waiting--
+	q.work -= t.expected
+}
+
+func (q *FairQueue) team(name string) *teamQueue {
+	t := q.teams[name]
+	if t == nil {
+		t = &teamQueue{name: name, share: 1}
+		q.teams[name] = t
+	}
+	return t
+}
+
+// head returns the task of the team that is due first, and drops the tasks that were cancelled while they waited.
+func (t *teamQueue) head(allowLong bool) *Task {
+	short := t.classes[classShort].peek()
+	if !allowLong {
+		return short
+	}
+	long := t.classes[classLong].peek()
+	if short == nil || (long != nil && dueBefore(long, short)) {
+		return long
+	}
+	return short
+}
+
+type taskHeap []*Task
+
+func (h *taskHeap) peek() *Task {
+	for len(*h) > 0 && (*h)[0].phase != PhaseQueued {
+		heap.Pop(h)
+	}
+	if len(*h) == 0 {
+		return nil
+	}
+	return (*h)[0]
+}
+
+func (h taskHeap) Len() int { return len(h) }
+
+func (h taskHeap) Less(a, b int) bool { return dueBefore(h[a], h[b]) }
+
+func (h taskHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+
+// Push implements heap.Interface.
+func (h *taskHeap) Push(x any) { *h = append(*h, x.(*Task)) }
+
+// Pop implements heap.Interface.
+func (h *taskHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return t
+}
+
+// dueBefore orders tasks by their job's deadline, then by the job's age, so that a job that was begun is finished first.
+func dueBefore(a, b *Task) bool {
+	if !a.job.deadline.Equal(b.job.deadline) {
+		return a.job.deadline.Before(b.job.deadline)
+	}
+	if a.job != b.job {
+		if !a.job.submittedAt.Equal(b.job.submittedAt) {
+			return a.job.submittedAt.Before(b.job.submittedAt)
+		}
+		return a.job.key.sequence < b.job.key.sequence
+	}
+	return a.id.index < b.id.index
+}
--- /dev/null
+++ b/hibiscusstate/runtimes.go
@@ -0,0 +1,91 @@
+package hibiscusstate
+
+import (
+	"math/bits"
+	"time"
+)
+
+// RunTimes learns how long tasks of each kind and payload size run.
+//
+// Declared run times are often wrong by a factor of ten either way, so they serve only until enough runs were observed.
+type RunTimes struct {
+	classes map[runClass]*runEstimate
+	usual   time.Duration
+}
+
+type runClass struct {
+	kind string
+	size int
+}
+
+type runEstimate struct {
+	n         int
+	mean      float64
+	deviation float64
+}
+
+const (
+	// trustedRuns is the number of observed runs after which the declared run time no longer counts.
+	trustedRuns = 8
+	// runWeight is the weight of the newest run in the moving mean.
+	runWeight = 1.0 / 16
+	// usualWeight is the weight of the newest run in the service's usual run time.
+	usualWeight = 1.0 / 64
+	// defaultRunTime stands in for a kind without declaration or observation.
+	defaultRunTime = 250 * time.Millisecond
+	// longFactor is how many usual run times make a task long.
+	longFactor = 4
+)
+
+// NewRunTimes returns an estimator without observations.
+func NewRunTimes() *RunTimes { return &RunTimes{classes: map[runClass]*runEstimate{}} }
+
+// Observe adds the run time of a finished task.
+func (r *RunTimes) Observe(kind string, payloadBytes int, runTime time.Duration) {
+	e := r.classes[classOf(kind, payloadBytes)]
+	if e == nil {
+		e = &runEstimate{}
+		r.classes[classOf(kind, payloadBytes)] = e
+	}
+	e.n++
+	weight := max(runWeight, 1/float64(e.n))
+	difference := float64(runTime) - e.mean
+	e.mean += weight * difference
+	e.deviation += weight * (max(difference, -difference) - e.deviation)
+	r.observeUsual(runTime)
+}
+
+// observeUsual follows the median: each run moves it by a fixed fraction up or down, so that rare long runs don't pull it.
+func (r *RunTimes) observeUsual(runTime time.Duration) {
+	step := time.Duration(float64(r.usual) * usualWeight)
+	switch {
+	case r.usual == 0:
+		r.usual = runTime
+	case runTime > r.usual:
+		r.usual += step
+	case runTime < r.usual:
+		r.usual -= step
+	}
+}
+
+// Expect returns the predicted run time of a task and whether that is long for this service.
+func (r *RunTimes) Expect(kind string, payloadBytes int, declared time.Duration) (expected time.Duration, long bool) {
+	expected = declared
+	if expected <= 0 {
+		expected = defaultRunTime
+	}
+	e := r.classes[classOf(kind, payloadBytes)]
+	if e != nil {
+		trust := min(float64(e.n)/trustedRuns, 1)
+		expected = time.Duration(trust*e.mean + (1-trust)*float64(expected))
+	}
+	return expected, r.usual > 0 && expected > longFactor*r.usual
+}
+
+// Usual returns the running median of all observed run times, zero before the first.
+func (r *RunTimes) Usual() time.Duration { return r.usual }
+
+// classOf groups payloads by a factor of four in size.
+func classOf(kind string, payloadBytes int) runClass {
+	return runClass{kind: kind, size: bits.Len(uint(payloadBytes)) / 2}
+}
--- /dev/null
+++ b/hibiscusstate/worker.go
@@ -0,0 +1,205 @@
+package hibiscusstate
+
+import "time"
+
+// Worker is one entry's view of one worker: what it gave to it, and what the worker's agent last reported about the rest.
+//
+// The own tasks are exact. The tasks of other entries are as old as the last report, which comes for free with every
+// result and rejection.
+type Worker struct {
+	id          Incarnation
+	address     string
+	domain      string
+	service     string
+	slots       int
+	primary     bool
+	preference  uint64
+	inFlight    int
+	longs       int
+	others      int
+	waiting     int
+	reportedAt  time.Time
+	held        []time.Time
+	health      Health
+	connected   bool
+	failures    int
+	outUntil    time.Time
+	trialDelay  time.Duration
+	lease       uint64
+	heapIndex   int
+	score       int
+	finished    uint64
+	failed      uint64
+	healthCause string
+}
+
+// NewWorker returns the view of a connected worker that no task was given to; preference orders workers that are equal
+// otherwise, and should differ between entries.
+func NewWorker(id Incarnation, address, domain, service string, slots int, preference uint64) *Worker {
+	return &Worker{
+		id: id, address: address, domain: domain, service: service, slots: slots, preference: preference,
+		connected: true, heapIndex: -1,
+	}
+}
+
+// ID returns the incarnation of the worker's agent.
+func (w *Worker) ID() Incarnation { return w.id }
+
+// Address returns the address that the agent reported.
+func (w *Worker) Address() string { return w.address }
+
+// Domain returns the failure domain of the worker.
+func (w *Worker) Domain() string { return w.domain }
+
+// Service returns the service that the worker's endpoint serves.
+func (w *Worker) Service() string { return w.service }
+
+// Slots returns how many tasks the worker runs at once.
+func (w *Worker) Slots() int { return w.slots }
+
+// SetSlots sets how many tasks the worker runs at once.
+func (w *Worker) SetSlots(slots int) { w.slots = slots }
+
+// Preference returns what orders workers that are equal otherwise.
+func (w *Worker) Preference() uint64 { return w.preference }
+
+// Primary says whether this entry ranks first for the worker among the entries.
+func (w *Worker) Primary() bool { return w.primary }
+
+// SetPrimary sets whether this entry ranks first for the worker.
+func (w *Worker) SetPrimary(primary bool) { w.primary = primary }
+
+// InFlight returns how many tasks of this entry the worker has.
+func (w *Worker) InFlight() int { return w.inFlight }
+
+// Longs returns how many of them are predicted to be long.
+func (w *Worker) Longs() int { return w.longs }
+
+// Others returns how many tasks of other entries the worker had at the last report.
+func (w *Worker) Others() int { return w.others }
+
+// Lease returns the epoch under which the agent takes tasks from this entry.
+func (w *Worker) Lease() uint64 { return w.lease }
+
+// SetLease takes a lease epoch; a lower one than before is ignored.
+func (w *Worker) SetLease(epoch uint64) { w.lease = max(w.lease, epoch) }
+
+// Connected says whether a session to the worker is open.
+func (w *Worker) Connected() bool { return w.connected }
+
+// SetConnected records whether a session to the worker is open.
+func (w *Worker) SetConnected(connected bool) { w.connected = connected }
+
+// Health returns whether the worker gets tasks.
+func (w *Worker) Health() Health { return w.health }
+
+// HealthCause returns why the worker is not in good health, empty when it is.
+func (w *Worker) HealthCause() string { return w.healthCause }
+
+// SetHealth sets the health with its cause.
+func (w *Worker) SetHealth(health Health, cause string) {
+	w.health = health
+	w.healthCause = cause
+}
+
+// Add counts a task that was given to the worker.
+func (w *Worker) Add(t *Task) {
+	w.inFlight++
+	if t.long {
+		w.longs++
+	}
+}
+
+// Remove counts a task that the worker no longer has.
+func (w *Worker) Remove(t *Task) {
+	w.inFlight--
+	if t.long {
+		w.longs--
+	}
+}
+
+// Report takes what the agent says about tasks of other entries: running and waiting, at now.
+func (w *Worker) Report(others, waiting int, now time.Time) {
+	w.others = others
+	w.waiting = waiting
+	w.reportedAt = now
+}
+
+// ReportedAt returns when the last report came.
+func (w *Worker) ReportedAt() time.Time { return w.reportedAt }
+
+// Hold keeps one slot counted as taken until a time, so that a task that failed at once doesn't attract the next.
+func (w *Worker) Hold(until time.Time) {
+	if len(w.held) < w.slots {
+		w.held = append(w.held, until)
+	}
+}
+
+// ReleaseHolds frees the held slots whose time has passed and says whether there was one.
+func (w *Worker) ReleaseHolds(now time.Time) bool {
+	kept := w.held[:0]
+	for _, until := range w.held {
+		if until.After(now) {
+			kept = append(kept, until)
+		}
+	}
+	released := len(kept) < len(w.held)
+	w.held = kept
+	return released
+}
+
+// Free returns the number of slots that are free in this view; it is negative when tasks wait.
+func (w *Worker) Free() int { return w.slots - w.inFlight - w.others - len(w.held) }
+
+// Usable says whether the worker may get a task.
+func (w *Worker) Usable() bool {
+	if !w.connected {
+		return false
+	}
+	switch w.health {
+	case HealthGood:
+		return true
+	case HealthOnTrial:
+		return w.inFlight == 0
+	case HealthOut, HealthLeaving:
+		return false
+	}
+	return false
+}
+
+// CountFinished records a task that finished and returns the number of failures in a row before it.
+func (w *Worker) CountFinished() int {
+	before := w.failures
+	w.failures = 0
+	w.finished++
+	return before
+}
+
+// CountFailed records a task that failed and returns the number of failures in a row.
+func (w *Worker) CountFailed() int {
+	w.failures++
+	w.failed++
+	return w.failures
+}
+
+// Finished returns how many tasks of this entry finished on the worker.
+func (w *Worker) Finished() uint64 { return w.finished }
+
+// Failed returns how many tasks of this entry failed on the worker.
+func (w *Worker) Failed() uint64 { return w.failed }
+
+// OutUntil returns when the worker that is out is tried again.
+func (w *Worker) OutUntil() time.Time { return w.outUntil }
+
+// SetOut takes the worker out until a time, with the delay that led to it.
+func (w *Worker) SetOut(until time.Time, delay time.Duration, cause string) {
+	w.SetHealth(HealthOut, cause)
+	w.outUntil = until
+	w.trialDelay = delay
+}
+
+// TrialDelay returns the delay before the last trial, zero when the worker was never out.
+func (w *Worker) TrialDelay() time.Duration { return w.trialDelay }
+
+// ClearTrial forgets the delay of earlier trials.
+func (w *Worker) ClearTrial() { w.trialDelay = 0 }
--- /dev/null
+++ b/hibiscusstate/worker_heap.go
@@ -0,0 +1,129 @@
+package hibiscusstate
+
+// WorkerHeap keeps the workers of one service ordered by how much they attract the next task.
+//
+// It is an indexed binary heap, so that a change of one worker costs the logarithm of their number, and choosing the best
+// costs nothing. Candidates returns the best few without sorting.
+type WorkerHeap struct {
+	workers []*Worker
+}
+
+const (
+	// primaryScore lifts the workers for which this entry ranks first above all others with a free slot, so that entries
+	// with late views rarely pick the same slot.
+	primaryScore = 1 << 12
+	// freeScore lifts a worker with a free slot above all without.
+	freeScore = 1 << 16
+	// unusableScore sorts the workers that get nothing below all others.
+	unusableScore = -1 << 20
+)
+
+// NewWorkerHeap returns an empty heap.
+func NewWorkerHeap() *WorkerHeap { return &WorkerHeap{} }
+
+// Len returns the number of workers.
+func (h *WorkerHeap) Len() int { return len(h.workers) }
+
+// At returns the worker at position i of the heap; position 0 holds the best one.
+func (h *WorkerHeap) At(i int) *Worker { return h.workers[i] }
+
+// Best returns the worker that attracts the next task most, nil when there is none that may get one.
+func (h *WorkerHeap) Best() *Worker {
+	if len(h.workers) == 0 || h.workers[0].score <= unusableScore {
+		return nil
+	}
+	return h.workers[0]
+}
+
+// Add puts a worker into the heap.
+func (h *WorkerHeap) Add(w *Worker) {
+	w.score = scoreOf(w)
+	w.heapIndex = len(h.workers)
+	h.workers = append(h.workers, w)
+	h.up(w.heapIndex)
+}
+
+// Remove takes a worker out of the heap.
+func (h *WorkerHeap) Remove(w *Worker) {
+	i := w.heapIndex
+	last := len(h.workers) - 1
+	h.swap(i, last)
+	h.workers[last] = nil
+	h.workers = h.workers[:last]
+	w.heapIndex = -1
+	if i < last {
+		h.down(i)
+		h.up(i)
+	}
+}
+
+// Update restores the order after a change of w.
+func (h *WorkerHeap) Update(w *Worker) {
+	score := scoreOf(w)
+	if score == w.score {
+		return
+	}
+	better := score > w.score
+	w.score = score
+	if better {
+		h.up(w.heapIndex)
+		return
+	}
+	h.down(w.heapIndex)
+}
+
+func scoreOf(w *Worker) int {
+	if !w.Usable() {
+		return unusableScore
+	}
+	free := w.Free()
+	if free <= 0 {
+		return free - w.waiting
+	}
+	score := freeScore + free
+	if w.primary {
+		score += primaryScore
+	}
+	return score
+}
+
+// attractsMore says whether a gets the next task before b.
+func attractsMore(a, b *Worker) bool {
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	return a.preference > b.preference
+}
+
+func (h *WorkerHeap) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !attractsMore(h.workers[i], h.workers[parent]) {
+			return
+		}
+		h.swap(parent, i)
+		i = parent
+	}
+}
+
+func (h *WorkerHeap) down(i int) {
+	for {
+		best := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(h.workers); child++ {
+			if attractsMore(h.workers[child], h.workers[best]) {
+				best = child
+			}
+		}
+		if best == i {
+			return
+		}
+		h.swap(best, i)
+		i = best
+	}
+}
+
+func (h *WorkerHeap) swap(a, b int) {
+	h.workers[a], h.workers[b] = h.workers[b], h.workers[a]
+	h.workers[a].heapIndex = a
+	h.workers[b].heapIndex = b
+}
--- /dev/null
+++ b/hibiscustransport/connector.go
@@ -0,0 +1,144 @@
+package hibiscustransport
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The Connector keeps one session to each address that its process wants, and takes the sessions that others open.
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+	// reconcileEvery is how often the wanted addresses are looked at.
+	reconcileEvery = 250 * time.Millisecond
+)
+
+// Connector runs the sessions of one process.
+type Connector struct {
+	network  Network
+	secret   []byte
+	handlers SessionHandlers
+	log      *slog.Logger
+	mu       sync.Mutex
+	dialing  map[string]context.CancelFunc
+	conns    map[net.Conn]struct{}
+	duties   sync.WaitGroup
+}
+
+// NewConnector returns a connector; all processes of a deployment share the secret.
+func NewConnector(network Network, secret []byte, handlers SessionHandlers, log *slog.Logger) *Connector {
+	return &Connector{
+		network: network, secret: secret, handlers: handlers, log: log,
+		dialing: map[string]context.CancelFunc{}, conns: map[net.Conn]struct{}{},
+	}
+}
+
+// Accept takes sessions from a listener until ctx is done.
+func (c *Connector) Accept(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		c.duties.Go(func() {
+			err := c.run(ctx, conn, false)
+			c.log.Debug("session: ended", "address", conn.RemoteAddr().String(), "cause", err)
+		})
+	}
+}
+
+// Reconcile keeps a session to each address that wanted returns, until ctx is done, and then waits for all sessions.
+func (c *Connector) Reconcile(ctx context.Context, wanted func() []string) {
+	ticker := time.NewTicker(reconcileEvery)
+	defer ticker.Stop()
+	for {
+		c.reconcile(ctx, wanted())
+		select {
+		case <-ctx.Done():
+			c.closeAll()
+			c.duties.Wait()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Connector) reconcile(ctx context.Context, wanted []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keep := map[string]bool{}
+	for _, address := range wanted {
+		keep[address] = true
+		if c.dialing[address] == nil {
+			addressCtx, cancel := context.WithCancel(ctx)
+			c.dialing[address] = cancel
+			c.duties.Go(func() { c.keepSession(addressCtx, address) })
+		}
+	}
+	for address, cancel := range c.dialing {
+		if !keep[address] {
+			cancel()
+			delete(c.dialing, address)
+		}
+	}
+}
+
+// keepSession is the duty of one wanted address: it opens a session again whenever the last one ended.
+func (c *Connector) keepSession(ctx context.Context, address string) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := c.dial(ctx, address)
+		if time.Since(began) > maxBackoff {
+			backoff = firstBackoff
+		}
+		c.log.Debug("session: ended", "address", address, "cause", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (c *Connector) dial(ctx context.Context, address string) error {
+	conn, err := c.network.Dial(ctx, address)
+	if err != nil {
+		return errors.Mark(err, ErrSession)
+	}
+	return c.run(ctx, conn, true)
+}
+
+func (c *Connector) run(ctx context.Context, conn net.Conn, dialer bool) error {
+	c.mu.Lock()
+	c.conns[conn] = struct{}{}
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.conns, conn)
+		c.mu.Unlock()
+	}()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	err := RunSession(conn, c.secret, dialer, c.handlers, c.log)
+	if errors.Is(err, ErrHandshake) {
+		c.log.Warn("session: peer was refused", "address", conn.RemoteAddr().String(), "cause", err.Error())
+	}
+	return err
+}
+
+func (c *Connector) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.conns {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/hibiscustransport/http_server.go
@@ -0,0 +1,44 @@
+package hibiscustransport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// ServeHTTP serves a handler until ctx is done, then finishes the requests that it has, for at most grace.
+func ServeHTTP(ctx context.Context, l net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+	}
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+		defer cancel()
+		stopped <- server.Shutdown(graceCtx)
+	})
+	err := server.Serve(l)
+	if stop() {
+		return errors.Wrap(err, "serve HTTP")
+	}
+	return errors.Wrap(<-stopped, "finish HTTP requests")
+}
+
+// NewHTTPClient returns a client whose connections go through the network, at most perHost to one address.
+func NewHTTPClient(network Network, perHost int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		},
+		MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, IdleConnTimeout: idleTimeout,
+	}}
+}
