Measure the dispatch decisions in virtual time against random FIFO

The command measure and the package hibiscusmeasure run the production Dispatcher and SlotKeeper with fakes for endpoints and links, and give response ratio, head-of-line ratio, crest service and wasted messages for each policy.

--- /dev/null
+++ b/hibiscuscommand/measure.go
@@ -0,0 +1,48 @@
+package hibiscuscommand
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscusmeasure"
+)
+
+const measureHelp = "Measures the decisions of the dispatcher in virtual time, with fakes for endpoints and links, against a " +
+	"baseline: response ratio, head-of-line ratio, crest service, wasted messages. The same seed gives the same figures."
+
+type measureCommand struct {
+	env        *environment
+	Deployment string `long:"deployment" required:"true" choice:"port_louis" choice:"nokkhao" description:"installation to measure"`
+	Seed       uint64 `long:"seed" default:"1" description:"seed of the demand and of all jitter"`
+	Output     string `long:"output" default:"text" choice:"text" choice:"json" description:"form of the figures"`
+	Plot       string `long:"plot" value-name:"FILE.svg" description:"write response times and the surge over time as SVG"`
+}
+
+// Execute implements flags.Commander.
+func (c *measureCommand) Execute([]string) error {
+	d, err := hibiscusmeasure.FindDeployment(c.Deployment)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	report := hibiscusmeasure.Measure(d, hibiscusmeasure.NewOptions(c.Seed))
+	if c.Plot != "" {
+		svg, err := report.SVG()
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.Plot, svg, 0o644); err != nil {
+			return errors.Mark(err, errUsage)
+		}
+	}
+	if c.Output == "text" {
+		c.env.printf("%s", report.Text())
+		return nil
+	}
+	raw, err := report.JSON()
+	if err != nil {
+		return err
+	}
+	c.env.printf("%s", raw)
+	return nil
+}
--- /dev/null
+++ b/hibiscusmeasure/demand.go
@@ -0,0 +1,186 @@
+package hibiscusmeasure
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// The demand of a scenario: jobs with their tasks and arrival times, made from the seed alone, so that every policy gets
+// the same.
+
+const (
+	// swing is how far the rate moves from its mean, drawn anew every swingInterval.
+	swing         = 0.15
+	swingInterval = time.Second
+	// severalSeconds is the part of tasks that run 2 s to 6 s.
+	severalSeconds = 0.005
+	// longEvery and longFactor make one task in 100 a hundred times as long.
+	longEvery  = 100
+	longFactor = 100
+	// longBudget is the deadline of a job whose task is a hundred times as long.
+	longBudget = 10 * time.Minute
+	// giveUpAfter is how many tries a caller makes.
+	giveUpAfter = 4
+)
+
+// phase is a stretch of a scenario with a mean load in parts of the slots' capacity.
+type phase struct {
+	length time.Duration
+	load   float64
+}
+
+// scenario says what demand comes and which workers misbehave.
+type scenario struct {
+	name    string
+	warmUp  time.Duration
+	phases  []phase
+	long    bool
+	single  bool
+	failing int // worker that fails every task, -1 for none
+	slow    int // worker that takes slowFactor times as long, -1 for none
+}
+
+// job is a submission of a caller, with the truth about its tasks.
+type job struct {
+	number   int
+	at       time.Duration
+	entry    int
+	team     string
+	budget   time.Duration
+	tasks    []task
+	longJob  bool
+	measured bool
+}
+
+type task struct {
+	kind     string
+	length   time.Duration
+	declared time.Duration
+	size     int
+}
+
+func (j *job) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, t := range j.tasks {
+		longest = max(longest, t.length)
+	}
+	return longest
+}
+
+func (j *job) work() time.Duration {
+	sum := time.Duration(0)
+	for _, t := range j.tasks {
+		sum += t.length
+	}
+	return sum
+}
+
+func (s scenario) length() time.Duration {
+	sum := time.Duration(0)
+	for _, p := range s.phases {
+		sum += p.length
+	}
+	return sum
+}
+
+// jobs returns the demand of a scenario in order of arrival.
+func (s scenario) jobs(d *Deployment, seed uint64) []*job {
+	meanWork := s.meanWork(d)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var jobs []*job
+	drawn := 0
+	begin := time.Duration(0)
+	for _, p := range s.phases {
+		end := begin + p.length
+		level := 1.0
+		next := begin
+		for at := begin; ; {
+			if at >= next {
+				level = 1 - swing + 2*swing*rng.Float64()
+				next += swingInterval
+			}
+			rate := p.load * level * float64(d.capacity()) / meanWork.Seconds()
+			at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+			if at >= end {
+				break
+			}
+			j := s.job(d, rng, &drawn)
+			j.number = len(jobs)
+			j.at = at
+			j.measured = at >= s.warmUp
+			jobs = append(jobs, j)
+		}
+		begin = end
+	}
+	return jobs
+}
+
+// meanWork returns the mean run time of a job's tasks together, from a sample of its own.
+func (s scenario) meanWork(d *Deployment) time.Duration {
+	const sample = 100_000
+	rng := rand.New(rand.NewPCG(0, 2))
+	drawn := 0
+	sum := time.Duration(0)
+	for range sample {
+		sum += s.job(d, rng, &drawn).work()
+	}
+	return sum / sample
+}
+
+// job draws one job; two thirds of the jobs have one task, the others up to eight.
+func (s scenario) job(d *Deployment, rng *rand.Rand, drawn *int) *job {
+	n := 1
+	if rng.Float64() < 1.0/3 && !s.single {
+		n = 2 + rng.IntN(7)
+	}
+	j := &job{entry: pick(rng, d.entries), team: d.teams[pick(rng, d.shares)].Name()}
+	for range n {
+		k := d.kind(rng)
+		*drawn++
+		t := task{kind: k.name, length: spread(rng, k.shortest, k.longest)}
+		j.budget = max(j.budget, k.budget)
+		if rng.Float64() < severalSeconds && !s.single {
+			t.length = spread(rng, 2*time.Second, 6*time.Second)
+			j.budget = 20 * time.Second
+		}
+		// The declared run time is off by up to ten times either way, and the payload's size by up to three times.
+		t.size = int(float64(t.length.Milliseconds()) * math.Pow(3, 2*rng.Float64()-1))
+		t.declared = time.Duration(float64(t.length) * math.Pow(10, 2*rng.Float64()-1))
+		if s.long && *drawn%longEvery == 0 {
+			// The size says nothing about these; the declared run time does, with its error.
+			t.length *= longFactor
+			t.declared *= longFactor
+			j.budget = longBudget
+			j.longJob = true
+		}
+		j.tasks = append(j.tasks, t)
+	}
+	return j
+}
+
+func (d *Deployment) kind(rng *rand.Rand) kind {
+	parts := make([]float64, len(d.kinds))
+	for i, k := range d.kinds {
+		parts[i] = k.part
+	}
+	return d.kinds[pick(rng, parts)]
+}
+
+// pick returns an index with the probability of its part.
+func pick(rng *rand.Rand, parts []float64) int {
+	x := rng.Float64()
+	for i, part := range parts {
+		x -= part
+		if x < 0 {
+			return i
+		}
+	}
+	return len(parts) - 1
+}
+
+// spread draws evenly on a logarithmic scale.
+func spread(rng *rand.Rand, shortest, longest time.Duration) time.Duration {
+	ratio := float64(longest) / float64(shortest)
+	return time.Duration(float64(shortest) * math.Pow(ratio, rng.Float64()))
+}
--- /dev/null
+++ b/hibiscusmeasure/measure.go
@@ -0,0 +1,162 @@
+package hibiscusmeasure
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+)
+
+// Each policy goes through the same scenarios; the figures of docs/measurements.md come from here.
+
+const (
+	// usualLoad is the load of the response and head-of-line scenarios, and before and after the surge.
+	usualLoad = 0.8
+	// surgeFactor is how much the demand grows for surgeTime.
+	surgeFactor = 3
+	surgeTime   = 30 * time.Second
+)
+
+// Options say what is measured.
+type Options struct {
+	seed  uint64
+	parts int
+}
+
+// NewOptions returns the options of a full run whose demand and jitter come from seed.
+func NewOptions(seed uint64) Options { return Options{seed: seed, parts: 1} }
+
+// Shortened returns the options with all scenarios cut to one part of their length, for tests.
+func (o Options) Shortened(parts int) Options {
+	o.parts = parts
+	return o
+}
+
+// Report holds the figures of all policies in one deployment.
+type Report struct {
+	deployment *Deployment
+	policies   []policyResult
+}
+
+type policyResult struct {
+	name    string
+	figures figuresJSON
+	surge   *trial
+	usual   *trial
+}
+
+// figuresJSON is the wire form of one policy's figures.
+type figuresJSON struct {
+	Policy               string  `json:"policy"`
+	Deployment           string  `json:"deployment"`
+	Seed                 uint64  `json:"seed"`
+	Tasks                int     `json:"tasks"`
+	Load                 float64 `json:"load"`
+	ResponseRatioP50     float64 `json:"response_ratio_p50"`
+	ResponseRatioP99     float64 `json:"response_ratio_p99"`
+	CompleteRatio        float64 `json:"complete_ratio"`
+	ShortMSP99           float64 `json:"short_ms_p99"`
+	ShortMSP99WithLong   float64 `json:"short_ms_p99_with_long"`
+	HeadOfLineRatio      float64 `json:"head_of_line_ratio"`
+	CrestService         float64 `json:"crest_service"`
+	CrestServiceFaults   float64 `json:"crest_service_faults"`
+	RefusalMSP99         float64 `json:"refusal_ms_p99"`
+	FalseNotRun          int     `json:"false_not_run"`
+	WastedMessagesPerRun float64 `json:"wasted_messages_per_task"`
+	StartedTwice         int     `json:"started_twice"`
+	Lost                 int     `json:"lost"`
+}
+
+// policy is a way to dispatch; build connects it to a trial.
+type policy struct {
+	name  string
+	build func(t *trial, seed uint64)
+}
+
+func policies() []policy {
+	return []policy{
+		{"hibiscus", func(t *trial, seed uint64) { newFleet(t, seed) }},
+		{"random_fifo", newRandomFIFO},
+	}
+}
+
+func (o Options) scenarios() (usual, short, long, crest, faults scenario) {
+	part := func(d time.Duration) time.Duration { return d / time.Duration(o.parts) }
+	steady := []phase{{part(130 * time.Second), usualLoad}}
+	mixed := []phase{{part(400 * time.Second), usualLoad}}
+	surge := []phase{
+		{part(10 * time.Second), usualLoad}, {part(surgeTime), usualLoad * surgeFactor}, {part(10 * time.Second), usualLoad},
+	}
+	usual = scenario{name: "response", warmUp: part(10 * time.Second), phases: steady, failing: -1, slow: -1}
+	short = scenario{name: "short", warmUp: part(100 * time.Second), phases: mixed, single: true, failing: -1, slow: -1}
+	long = scenario{name: "long", warmUp: part(100 * time.Second), phases: mixed, single: true, long: true, failing: -1, slow: -1}
+	crest = scenario{name: "crest", phases: surge, failing: -1, slow: -1}
+	faults = scenario{name: "faults", phases: surge, failing: 4, slow: 7}
+	return usual, short, long, crest, faults
+}
+
+// Measure runs all scenarios under all policies.
+func Measure(d *Deployment, o Options) *Report {
+	r := &Report{deployment: d}
+	for _, p := range policies() {
+		r.policies = append(r.policies, measurePolicy(d, o, p))
+	}
+	return r
+}
+
+func measurePolicy(d *Deployment, o Options, p policy) policyResult {
+	usual, short, long, crest, faults := o.scenarios()
+	result := policyResult{name: p.name}
+	f := &result.figures
+	f.Policy, f.Deployment, f.Seed, f.Load = p.name, d.name, o.seed, usualLoad
+	play := func(s scenario) *trial {
+		t := newTrial(d, s)
+		p.build(t, o.seed)
+		t.run(s.jobs(d, o.seed))
+		f.add(t)
+		return t
+	}
+	t := play(usual)
+	result.usual = t
+	f.ResponseRatioP50 = rounded(float64(t.ratios.ValueAtQuantile(50)) / ratioScale)
+	f.ResponseRatioP99 = rounded(float64(t.ratios.ValueAtQuantile(99)) / ratioScale)
+	f.CompleteRatio = rounded(float64(t.complete) / float64(t.measured))
+	f.ShortMSP99 = rounded(float64(play(short).responses.ValueAtQuantile(99)) / 1000)
+	f.ShortMSP99WithLong = rounded(float64(play(long).responses.ValueAtQuantile(99)) / 1000)
+	f.HeadOfLineRatio = rounded(f.ShortMSP99WithLong / f.ShortMSP99)
+	result.surge = play(crest)
+	f.CrestService = rounded(result.surge.crest())
+	f.CrestServiceFaults = rounded(play(faults).crest())
+	return result
+}
+
+// add takes the counts of a trial; of the measures that every scenario has, the worst counts.
+func (f *figuresJSON) add(t *trial) {
+	tasks, falseNotRun, startedTwice, lost := t.faults()
+	f.Tasks += tasks
+	f.FalseNotRun += falseNotRun
+	f.StartedTwice += startedTwice
+	f.Lost += lost
+	f.RefusalMSP99 = max(f.RefusalMSP99, rounded(float64(t.refusals.ValueAtQuantile(99))/1000))
+	f.WastedMessagesPerRun = max(f.WastedMessagesPerRun, rounded(float64(t.wasted())/float64(tasks)))
+}
+
+// crest returns the work done in time during the surge in parts of what all slots could do.
+func (t *trial) crest() float64 {
+	from := t.began.Add(t.scenario.phases[0].length)
+	return t.service(from, from.Add(t.scenario.phases[1].length)) / float64(t.deployment.capacity())
+}
+
+func rounded(v float64) float64 { return math.Round(v*10_000) / 10_000 }
+
+// JSON returns the figures of all policies, in snake case.
+func (r *Report) JSON() ([]byte, error) {
+	figures := make([]figuresJSON, len(r.policies))
+	for i, p := range r.policies {
+		figures[i] = p.figures
+	}
+	raw, err := json.MarshalIndent(figures, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return append(raw, '\n'), nil
+}
