Compare with one queue that sees all slots

Adds the baseline one_queue: a single queue in order of arrival without delay. No system of several entries can have it; it shows how much of a ratio comes from the demand itself.

--- a/hibiscusmeasure/measure.go
+++ b/hibiscusmeasure/measure.go
@@ -76,6 +76,7 @@
 	return []policy{
 		{"hibiscus", func(t *trial, seed uint64) { newFleet(t, seed) }},
 		{"random_fifo", newRandomFIFO},
+		{"one_queue", newOneQueue},
 	}
 }
 
--- a/hibiscusmeasure/plot.go
+++ b/hibiscusmeasure/plot.go
@@ -21,7 +21,9 @@
 // surgeStep is the width of one point of the surge plot.
 const surgeStep = 500 * time.Millisecond
 
-var plotColors = []color.Color{color.RGBA{R: 190, B: 60, A: 255}, color.RGBA{R: 90, G: 120, B: 190, A: 255}}
+var plotColors = []color.Color{
+	color.RGBA{R: 190, B: 60, A: 255}, color.RGBA{R: 90, G: 120, B: 190, A: 255}, color.RGBA{R: 60, G: 150, B: 80, A: 255},
+}
 
 // Text returns the figures of all policies as a table for people.
 func (r *Report) Text() string {
