Let a task wait briefly for a slot that was believed to be free

Each cost two messages and another try by a view that was no better. Of 8 slots one becomes free every 25 ms. Tried and dropped: preferring workers by a rendezvous hash weighted with the entry's own part of the load.

Conclusion: every order may wait a quarter of its task's expected run time, at most 100 ms.

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -41,6 +41,9 @@
 	agentWaitPlaces = 4
 	// agentWaitLimit is how long a task may wait at an agent before it comes back.
 	agentWaitLimit = 100 * time.Millisecond
+	// staleWaitPart is the part of its run time that a task may wait for a slot that this entry believed to be free. A
+	// rejection costs two messages and another try by a view that is no better.
+	staleWaitPart = 4
 	// maxWaiters bounds the callers that wait for one job.
 	maxWaiters = 64
 )
@@ -570,6 +573,9 @@
 		if t == nil {
 			return
 		}
+		if wait == 0 {
+			wait = min(t.Expected()/staleWaitPart, agentWaitLimit)
+		}
 		d.place(now, d.workers[w.ID()], t, wait)
 	}
 }
