Bound what a single long run changes in the learned run time

Cause: the moving mean of a kind has a weight of 1/16 for the newest run, so one run a hundred times as long made the kind look six times as long as it is. The figures now contain the completed part of the jobs, in both scenarios, so that a refusal can't pass for a fast answer. Ruled out: the service's usual run time, which follows the median by fixed steps.

Conclusion: after the first 8 runs a run counts for at most 4 times the mean; a lasting change gets through by that factor at a time.

--- a/hibiscusmeasure/measure.go
+++ b/hibiscusmeasure/measure.go
@@ -54,6 +54,7 @@
 	ResponseRatioP50     float64 `json:"response_ratio_p50"`
 	ResponseRatioP99     float64 `json:"response_ratio_p99"`
 	CompleteRatio        float64 `json:"complete_ratio"`
+	CompleteWithLong     float64 `json:"complete_ratio_with_long"`
 	ShortMSP99           float64 `json:"short_ms_p99"`
 	ShortMSP99WithLong   float64 `json:"short_ms_p99_with_long"`
 	HeadOfLineRatio      float64 `json:"head_of_line_ratio"`
@@ -122,7 +123,9 @@
 	f.ResponseRatioP99 = rounded(float64(t.ratios.ValueAtQuantile(99)) / ratioScale)
 	f.CompleteRatio = rounded(float64(t.complete) / float64(t.measured))
 	f.ShortMSP99 = rounded(float64(play(short).responses.ValueAtQuantile(99)) / 1000)
-	f.ShortMSP99WithLong = rounded(float64(play(long).responses.ValueAtQuantile(99)) / 1000)
+	t = play(long)
+	f.ShortMSP99WithLong = rounded(float64(t.responses.ValueAtQuantile(99)) / 1000)
+	f.CompleteWithLong = rounded(float64(t.complete) / float64(t.measured))
 	f.HeadOfLineRatio = rounded(f.ShortMSP99WithLong / f.ShortMSP99)
 	result.surge = play(crest)
 	f.CrestService = rounded(result.surge.crest())
--- a/hibiscusmeasure/plot.go
+++ b/hibiscusmeasure/plot.go
@@ -42,6 +42,8 @@
 	row("response ratio p50 (<= 1.02)", func(f figuresJSON) string { return number(f.ResponseRatioP50) })
 	row("response ratio p99 (<= 1.5)", func(f figuresJSON) string { return number(f.ResponseRatioP99) })
 	row("head-of-line ratio (<= 1.2)", func(f figuresJSON) string { return number(f.HeadOfLineRatio) })
+	row("completed", func(f figuresJSON) string { return number(f.CompleteRatio) })
+	row("completed, 1% long", func(f figuresJSON) string { return number(f.CompleteWithLong) })
 	row("crest service (>= 0.98)", func(f figuresJSON) string { return number(f.CrestService) })
 	row("crest service, faulty workers", func(f figuresJSON) string { return number(f.CrestServiceFaults) })
 	row("refusal p99, ms (< 50)", func(f figuresJSON) string { return number(f.RefusalMSP99) })
--- a/hibiscusstate/runtimes.go
+++ b/hibiscusstate/runtimes.go
@@ -33,6 +33,8 @@
 	usualWeight = 1.0 / 64
 	// defaultRunTime stands in for a kind without declaration or observation.
 	defaultRunTime = 250 * time.Millisecond
+	// outlierFactor is how many times the mean a single run may count.
+	outlierFactor = 4
 	// longFactor is how many usual run times make a task long.
 	longFactor = 4
 )
@@ -42,17 +44,22 @@
 
 // Observe adds the run time of a finished task.
 func (r *RunTimes) Observe(kind string, payloadBytes int, runTime time.Duration) {
+	r.observeUsual(runTime)
 	e := r.classes[classOf(kind, payloadBytes)]
 	if e == nil {
 		e = &runEstimate{}
 		r.classes[classOf(kind, payloadBytes)] = e
 	}
 	e.n++
+	if e.n > trustedRuns {
+		// One run that is a hundred times as long would make the kind look six times as long as it is, and admission would
+		// refuse all of it; a real change still gets through, by a factor of outlierFactor at a time.
+		runTime = min(runTime, time.Duration(outlierFactor*e.mean))
+	}
 	weight := max(runWeight, 1/float64(e.n))
 	difference := float64(runTime) - e.mean
 	e.mean += weight * difference
 	e.deviation += weight * (max(difference, -difference) - e.deviation)
-	r.observeUsual(runTime)
 }
 
 // observeUsual follows the median: each run moves it by a fixed fraction up or down, so that rare long runs don't pull it.
