Admit and place by the expected finish

Three estimates were too hopeful. Tasks were placed that could not finish before the deadline. An entry counted on an even part of the slots, while in the surge its part depends on the others. The work ahead ignored that later jobs with earlier deadlines, other teams and other entries go first.

Conclusion: a task that can't be in time ends its job while others wait; the capacity is the slots that the entry has or sees free; the work ahead counts 2.5 times.

--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -15,6 +15,9 @@
 	minRetryAfter = 50 * time.Millisecond
 	// noWorkersRetry is the hint while a service has no endpoint; they announce themselves every second.
 	noWorkersRetry = 250 * time.Millisecond
+	// aheadFactor is how much longer than its estimate the work ahead is taken to last. Jobs with earlier deadlines, other
+	// teams and other entries that come later take part of the slots; with 1, 3% of the slots worked for late answers.
+	aheadFactor = 2.5
 	// retryFraction is the part of admitted first tries that later tries may add while tasks wait, and retryBurst how many
 	// may come at once; without it the refused callers of a surge keep it up by coming back.
 	retryFraction = 0.1
@@ -100,20 +103,21 @@
 	return nil
 }
 
-// checkDeadline refuses at once what can't be in time.
+// checkDeadline refuses at once what can't be in time. While nothing waits, every job is taken: its run times may be
+// declared or learned too long, and only a run corrects them.
 func (d *Dispatcher) checkDeadline(s *Submission) *Answer {
 	p := d.pool(s.service)
 	work := time.Duration(0)
 	longest := time.Duration(0)
 	for _, t := range s.tasks {
-		expected, _ := p.runTimes.Expect(t.Kind(), len(t.Payload()), t.Declared())
+		expected, _ := p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t.Kind(), t.Declared()))
 		work += expected
 		longest = max(longest, expected)
 	}
 	capacity := d.capacity(p)
 	share := p.queue.TeamShare(s.team)
 	ahead := min(float64(p.queue.Work()), float64(p.queue.TeamWork(s.team))/share)
-	needed := time.Duration((ahead+float64(work))/capacity) + longest
+	needed := time.Duration((aheadFactor*ahead+float64(work))/capacity) + longest
 	if needed > d.budget(s) && p.queue.Len() > 0 {
 		return d.refuse(s, hibiscusstate.RefusalTooLate,
 			fmt.Sprintf("the job would be done in %d ms, its deadline is in %d ms", needed.Milliseconds(), d.budget(s).Milliseconds()),
@@ -139,9 +143,12 @@
 	return nil
 }
 
-// capacity returns the number of slots that this entry can count on, at least a fair part of the service's.
+// capacity returns the number of slots that this entry can count on.
 func (d *Dispatcher) capacity(p *pool) float64 {
-	return max(float64(p.slots)/float64(len(d.entries)), 1)
+	if p.usable == 0 {
+		return max(float64(p.slots)/float64(len(d.entries)), 1)
+	}
+	return max(p.usable, 1)
 }
 
 // drainTime returns how long the queue of a service needs at its present capacity.
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -84,6 +84,7 @@
 	runTimes *hibiscusstate.RunTimes
 	heap     *hibiscusstate.WorkerHeap
 	slots    int
+	usable   float64
 	longs    int
 	failures float64
 	retries  float64
@@ -244,7 +245,7 @@
 	p := d.pool(s.service)
 	for i := range job.Len() {
 		t := job.Task(i)
-		t.SetExpected(p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t)))
+		t.SetExpected(p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t.Kind(), t.Declared())))
 		p.queue.Push(t)
 	}
 	d.dispatch(now, p)
@@ -267,13 +268,14 @@
 	return budget
 }
 
-func (d *Dispatcher) declared(service string, t *hibiscusstate.Task) time.Duration {
-	if t.Declared() > 0 {
-		return t.Declared()
+// declared returns the caller's declared run time, or the kind's when the caller names none.
+func (d *Dispatcher) declared(service, kind string, declared time.Duration) time.Duration {
+	if declared > 0 {
+		return declared
 	}
 	s, _ := d.configuration.Document().Service(service)
-	kind, _ := s.Kind(t.Kind())
-	return kind.RunTime()
+	k, _ := s.Kind(kind)
+	return k.RunTime()
 }
 
 // Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer.
@@ -573,6 +575,10 @@
 		if t == nil {
 			return
 		}
+		if p.queue.Len() > 0 && now.Add(t.Expected()).After(t.Job().Deadline()) {
+			d.giveUp(now, t)
+			continue
+		}
 		if wait == 0 {
 			wait = min(t.Expected()/staleWaitPart, agentWaitLimit)
 		}
@@ -580,6 +586,18 @@
 	}
 }
 
+// giveUp ends a job whose next task can't be in time, so that no slot works for an answer that comes too late. It is
+// called only while other tasks wait: a kind whose learned run time is too long would otherwise never run again, and never
+// be learned anew.
+func (d *Dispatcher) giveUp(now time.Time, t *hibiscusstate.Task) {
+	r := d.jobs[t.Job().Key()]
+	t.Resolve(hibiscusstate.OutcomeNotRun, nil, "the task could not be done before the deadline", 0)
+	d.counters.countOutcome(hibiscusstate.OutcomeNotRun)
+	d.abandonQueued(r, "another task of the job could not be done before the deadline")
+	d.stopSent(now, r)
+	d.finish(now, r)
+}
+
 // waitPlaces returns this entry's share of the waiting places at an agent.
 func (d *Dispatcher) waitPlaces() int { return max(agentWaitPlaces/len(d.entries), 1) }
 
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -12,6 +12,9 @@
 // What happens in a Dispatcher because time passes: deadlines, views that grow old, workers that stay away, records that
 // have been kept long enough.
 
+// capacityWeight is the weight of the newest look at the slots of a service, one each tick.
+const capacityWeight = 0.2
+
 // Tick does what is due at now.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.expireJobs(now)
@@ -22,6 +25,9 @@
 	for _, a := range d.workers {
 		d.ageWorker(now, a)
 	}
+	for _, p := range d.pools {
+		p.observeCapacity(len(d.entries))
+	}
 	d.evict(now)
 	d.dispatchAll(now)
 }
@@ -91,6 +97,22 @@
 	a.pool.heap.Update(w)
 }
 
+// observeCapacity follows how many slots this entry has or could have: those with its tasks and those that look free.
+// While several entries have work waiting, none gets all slots, and none knows beforehand which part it gets.
+func (p *pool) observeCapacity(entries int) {
+	slots := 0
+	for i := range p.heap.Len() {
+		w := p.heap.At(i)
+		if w.Usable() {
+			slots += min(w.InFlight(), w.Slots()) + max(w.Free(), 0)
+		}
+	}
+	if p.usable == 0 {
+		p.usable = float64(p.slots) / float64(entries)
+	}
+	p.usable += (float64(slots) - p.usable) * capacityWeight
+}
+
 // evict forgets the oldest finished jobs that are past their time or past the bounds.
 func (d *Dispatcher) evict(now time.Time) {
 	for e := d.finished.Front(); e != nil; e = d.finished.Front() {
