Close idle connections to an endpoint before it does

Cause: an endpoint that closes a kept connection just when the agent writes the next task leaves it open whether the task ran. Ruled out: letting the client send again (it does so only when no byte was written, which now is allowed; the rest stays unknown); a new connection for each task (one dial a task, not needed). Conclusion: holds for endpoints that keep idle connections longer than 500 ms; docs/api.md has to say so.

--- a/hibiscusprotocol/endpoint_http.go
+++ b/hibiscusprotocol/endpoint_http.go
@@ -114,8 +114,7 @@
 	if err != nil {
 		return hibiscuscoordination.NewNotRunResult(hibiscusstate.RejectionEndpointDown)
 	}
-	// Without this the HTTP client may send a request again by itself when a kept connection turns out to be closed.
-	request.GetBody = nil
+	// The HTTP client sends a POST again by itself only when not one byte of it was written, which can't start it twice.
 	response, err := e.client.Do(request)
 	if err != nil {
 		return resultOfError(ctx, err)
--- a/hibiscustransport/http_server.go
+++ b/hibiscustransport/http_server.go
@@ -13,6 +13,9 @@
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// clientIdleTimeout is shorter than the time that servers keep idle connections, so that this end closes them first. A
+	// server that closes just when a request is written leaves it open whether the request ran.
+	clientIdleTimeout = 500 * time.Millisecond
 )
 
 // ServeHTTP serves a handler until ctx is done, then finishes the requests that it has, for at most grace.
@@ -39,6 +42,6 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return network.Dial(ctx, address)
 		},
-		MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, IdleConnTimeout: idleTimeout,
+		MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, IdleConnTimeout: clientIdleTimeout,
 	}}
 }
