Refuse bad requests with a way out, and wait no longer than asked

Cause: a body like {...}} passed, because Decoder.More takes a closing bracket for the end; deadline_ms 0 was taken for no deadline; negative and overflowing times were taken; a difference after the JSON value did not count; a cancel waited five minutes whatever the caller asked; a job that had not been heard of for a second was called running. All callers that wait for one job got one answer object, so all of them got the next_key of the last one. Ruled out: new codes for a missing key and a large payload: key_not_issued and body_too_large say the same and keep the wire enum as it is.

--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -49,22 +49,23 @@
 	document := d.configuration.Document()
 	service, ok := document.Service(s.service)
 	if !ok {
-		return d.refuse(s, hibiscusstate.RefusalUnknownService, fmt.Sprintf("service %q does not exist", s.service), 0)
+		return d.refuse(s, hibiscusstate.RefusalUnknownService,
+			fmt.Sprintf("service %q does not exist; check its name with the operators", s.service), 0)
 	}
 	if _, ok := document.Team(s.team); !ok {
-		return d.refuse(s, hibiscusstate.RefusalUnknownTeam, fmt.Sprintf("team %q does not exist", s.team), 0)
+		return d.refuse(s, hibiscusstate.RefusalUnknownTeam, fmt.Sprintf("team %q does not exist; check its name with the operators", s.team), 0)
 	}
 	if len(s.tasks) == 0 {
-		return d.refuse(s, hibiscusstate.RefusalBadRequest, "a job needs at least one task", 0)
+		return d.refuse(s, hibiscusstate.RefusalBadRequest, "the job has no tasks; give at least one", 0)
 	}
 	if len(s.tasks) > maxTasks {
 		return d.refuse(s, hibiscusstate.RefusalTooManyTasks,
-			fmt.Sprintf("a job has at most %d tasks, this one has %d", maxTasks, len(s.tasks)), 0)
+			fmt.Sprintf("a job has at most %d tasks, this one has %d; split it into several jobs", maxTasks, len(s.tasks)), 0)
 	}
 	for i, t := range s.tasks {
 		if _, ok := service.Kind(t.Kind()); !ok {
 			return d.refuse(s, hibiscusstate.RefusalUnknownKind,
-				fmt.Sprintf("task %d: service %q has no kind %q", i, s.service, t.Kind()), 0)
+				fmt.Sprintf("task %d: service %q has no kind %q; check its name with the operators", i, s.service, t.Kind()), 0)
 		}
 	}
 	return nil
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -181,7 +181,7 @@
 		return
 	}
 	if s.fetch || s.cancel {
-		reply(NewRefusal(s.key, hibiscusstate.RefusalUnknownJob, true, "no job was submitted under this key"))
+		reply(NewRefusal(s.key, hibiscusstate.RefusalUnknownJob, true, "no job was submitted under this key; submit it, the key is still good"))
 		return
 	}
 	if refusal := d.admit(s); refusal != nil {
@@ -196,7 +196,7 @@
 func (d *Dispatcher) join(r *jobRecord, s *Submission, reply func(*Answer)) {
 	if !s.fetch && !s.cancel && s.digest != r.job.Digest() {
 		reply(NewRefusal(s.key, hibiscusstate.RefusalKeyReused, true,
-			"this key was used for a submission with another body; the body sent now was not run"))
+			"this key was used for a submission with another body; the body sent now was not run; get a fresh key for it"))
 		return
 	}
 	if s.waitTime == 0 || r.job.State() != hibiscusstate.JobRunning {
@@ -219,7 +219,7 @@
 		return NewRefusal(s.key, hibiscusstate.RefusalKeyExpired, false,
 			"the record of this key is no longer kept; its tasks may have run")
 	default:
-		return NewRefusal(s.key, hibiscusstate.RefusalKeyNotIssued, true, "this key was never issued")
+		return NewRefusal(s.key, hibiscusstate.RefusalKeyNotIssued, true, "this key was never issued; get one from POST /v1/keys")
 	}
 }
 
@@ -273,23 +273,22 @@
 	return kind.RunTime()
 }
 
-// Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer.
-func (d *Dispatcher) Cancel(now time.Time, key hibiscusstate.SubmissionKey, reply func(*Answer)) {
-	r := d.jobs[key]
+// Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer, or
+// the state of the job at once when the cancellation does not wait.
+func (d *Dispatcher) Cancel(now time.Time, s *Submission, reply func(*Answer)) {
+	r := d.jobs[s.key]
 	if r == nil {
-		d.Submit(now, NewCancel(key), reply)
+		d.Submit(now, s, reply)
 		return
 	}
-	if r.job.State() != hibiscusstate.JobRunning {
-		reply(d.answer(r.job))
-		return
+	if r.job.State() == hibiscusstate.JobRunning {
+		r.job.Cancel()
+		d.abandonQueued(r, "the job was cancelled before the task was started")
+		d.stopSent(now, r)
+		d.finish(now, r)
+		d.dispatch(now, d.pool(r.job.Service()))
 	}
-	r.waiters = append(r.waiters, reply)
-	r.job.Cancel()
-	d.abandonQueued(r, "the job was cancelled before the task was started")
-	d.stopSent(now, r)
-	d.finish(now, r)
-	d.dispatch(now, d.pool(r.job.Service()))
+	d.join(r, s, reply)
 }
 
 // WorkerUp takes a worker whose agent has opened a session, or whose agent has opened another one after a lost session.
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -179,9 +179,14 @@
 }
 
 func (e *Entry) routeHere(now time.Time, s *Submission, reply func(*Answer)) {
-	withKey := func(a *Answer) { reply(a.WithNextKey(e.dispatcher.IssueKeys(1)[0])) }
+	withKey := func(a *Answer) {
+		if a.Refusal() == hibiscusstate.RefusalNone {
+			a = a.WithNextKey(e.dispatcher.IssueKeys(1)[0])
+		}
+		reply(a)
+	}
 	if s.cancel {
-		e.dispatcher.Cancel(now, s.key, reply)
+		e.dispatcher.Cancel(now, s, withKey)
 		return
 	}
 	e.dispatcher.Submit(now, s, withKey)
--- a/hibiscuscoordination/submission.go
+++ b/hibiscuscoordination/submission.go
@@ -133,11 +133,13 @@
 	return a
 }
 
-// WithNextKey sets a fresh key for the caller's next submission.
+// WithNextKey returns a copy of the answer with a fresh key for the caller's next submission. All callers that wait for a
+// job get one answer, and setting the key in place gave two of them the same key.
 func (a *Answer) WithNextKey(key hibiscusstate.SubmissionKey) *Answer {
-	a.nextKey = key
-	a.hasNextKey = true
-	return a
+	own := *a
+	own.nextKey = key
+	own.hasNextKey = true
+	return &own
 }
 
 // Key returns the submission key that the answer belongs to.
--- /dev/null
+++ b/hibiscusprocess/callers_test.go
@@ -0,0 +1,163 @@
+package hibiscusprocess
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/smartystreets/goconvey/convey"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+const (
+	checkJob = `{"team":"nokkhao","service":"sighting","tasks":[{"kind":"plausibility_check","payload":{"run_ms":60}}]}`
+	slowJob  = `{"team":"nokkhao","service":"sighting","wait_ms":0,"tasks":[{"kind":"photo_match","payload":{"run_ms":900}}]}`
+	// shownBytes is how much of a long body the golden file shows.
+	shownBytes = 160
+)
+
+var nextKeyPattern = regexp.MustCompile(`"next_key":"[^"]*"`)
+
+// exchanges writes whole HTTP exchanges as text, with names in place of keys and without what differs between runs.
+type exchanges struct {
+	d    *deployment
+	text strings.Builder
+}
+
+func (x *exchanges) do(title, method, path, key, body string) {
+	began := time.Now()
+	request, err := http.NewRequest(method, "http://10.0."+path, strings.NewReader(body))
+	x.d.must(err)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := x.d.client().Do(request)
+	x.d.must(err)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	x.d.must(err)
+	fmt.Fprintf(&x.text, "# %s\n%s %s\n", title, method, path)
+	if key != "" {
+		fmt.Fprintf(&x.text, "Idempotency-Key: %s\n", key)
+	}
+	if len(body) > shownBytes {
+		body = fmt.Sprintf("%s... (%d bytes)", body[:shownBytes], len(body))
+	}
+	fmt.Fprintf(&x.text, "%s\n-> %d after %d ms\n%s\n", body, response.StatusCode, time.Since(began).Milliseconds(),
+		volatilePattern.ReplaceAllString(strings.TrimSpace(string(raw)), `"..."`))
+}
+
+func (x *exchanges) golden(name string) {
+	text := x.text.String()
+	for key, name := range x.d.keys {
+		text = strings.ReplaceAll(text, key, name)
+	}
+	goldie.New(x.d.t, goldie.WithFixtureDir("testdata")).Assert(x.d.t, name, []byte(text))
+}
+
+func manyTasks(n int, task string) string {
+	return `{"team":"nokkhao","service":"sighting","tasks":[` + strings.TrimSuffix(strings.Repeat(task+",", n), ",") + `]}`
+}
+
+func jobWith(field string) string { return strings.Replace(checkJob, `"tasks"`, field+`,"tasks"`, 1) }
+
+// TestCallerExchanges guards against a bad request that is taken, that leaves a trace under its key, that is answered without a
+// status, a code, a way out and "not_run", and against a cancel or fetch that waits longer than it was asked to.
+func TestCallerExchanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startEntry("10.0.1.1")
+		d.startEntry("10.0.1.2")
+		d.startWorker("10.0.2.1", 2)
+		time.Sleep(settleTime)
+		x := &exchanges{d: d}
+		const jobs, worker = "1.1:7100/v1/jobs", "2.1:7300/v1/endpoint"
+		key, slow := d.key("10.0.1.1", "key-1"), d.key("10.0.1.1", "key-2")
+		foreign := hibiscusstate.NewKeySigner([]byte("the key of another deployment")).Format(hibiscusstate.NewSubmissionKey(1, 0))
+		d.keys[foreign] = "foreign-key"
+		for _, c := range []struct{ title, key, body string }{
+			{"no key", "", checkJob},
+			{"a key that is no key", "order-7", checkJob},
+			{"a key of another deployment", foreign, checkJob},
+			{"an empty body", key, ""},
+			{"malformed JSON", key, checkJob[:40]},
+			{"a bracket after the JSON value", key, checkJob + "}"},
+			{"a second JSON value", key, checkJob + checkJob},
+			{"an unknown field", key, jobWith(`"priority":1`)},
+			{"a field of the wrong type", key, jobWith(`"wait_ms":"soon"`)},
+			{"a service that does not exist", key, strings.Replace(checkJob, `"sighting"`, `"sightings"`, 1)},
+			{"a team that does not exist", key, strings.Replace(checkJob, `"nokkhao"`, `"nokhao"`, 1)},
+			{"a kind that does not exist", key, strings.Replace(checkJob, `"plausibility_check"`, `"sound_match"`, 1)},
+			{"no tasks", key, manyTasks(0, "")},
+			{"1,801 tasks", key, manyTasks(1801, `{"kind":"list_sync"}`)},
+			{"a body over 8 MiB", key, manyTasks(9, `{"kind":"list_sync","payload":"`+strings.Repeat("x", 1000000)+`"}`)},
+			{"a payload over 1 MiB", key, manyTasks(1, `{"kind":"list_sync","payload":"`+strings.Repeat("x", 1<<20)+`"}`)},
+			{"a deadline of zero", key, jobWith(`"deadline_ms":0`)},
+			{"a negative deadline", key, jobWith(`"deadline_ms":-5`)},
+			{"a deadline as a date", key, jobWith(`"deadline_ms":1796380000000`)},
+			{"a negative wait", key, jobWith(`"wait_ms":-1`)},
+			{"a negative attempt", key, jobWith(`"attempt":-1`)},
+			{"a negative run time", key, manyTasks(1, `{"kind":"list_sync","run_ms":-80}`)},
+		} {
+			x.do(c.title, http.MethodPost, jobs, c.key, c.body)
+		}
+		x.do("too many keys", http.MethodPost, "1.1:7100/v1/keys", "", `{"count":1001}`)
+		x.do("a path that does not exist", http.MethodGet, "1.1:7100/v1/job", "", "")
+		x.do("a method that does not exist", http.MethodPut, jobs, "", "")
+		x.do("none of these left a trace", http.MethodGet, jobs+"/"+key, "", "")
+		x.do("so the key serves", http.MethodPost, jobs, key, checkJob)
+		x.do("the same submission", http.MethodPost, jobs, key, checkJob)
+		x.do("the same submission at another entry", http.MethodPost, "1.2:7100/v1/jobs", key, checkJob)
+		x.do("the key with a space more after the value", http.MethodPost, jobs, key, checkJob+" ")
+		x.do("a cancel that comes too late", http.MethodDelete, jobs+"/"+key, "", "")
+		x.do("a slow job, no wait", http.MethodPost, jobs, slow, slowJob)
+		x.do("fetch", http.MethodGet, jobs+"/"+slow, "", "")
+		x.do("fetch with a wait that is too short", http.MethodGet, jobs+"/"+slow+"?wait_ms=100", "", "")
+		x.do("fetch at the other entry", http.MethodGet, "1.2:7100/v1/jobs/"+slow+"?wait_ms=50", "", "")
+		x.do("fetch with a wait that is no number", http.MethodGet, jobs+"/"+slow+"?wait_ms=1s", "", "")
+		x.do("cancel without a wait", http.MethodDelete, jobs+"/"+slow+"?wait_ms=0", "", "")
+		x.do("cancel again", http.MethodDelete, jobs+"/"+slow, "", "")
+		x.do("and once more", http.MethodDelete, jobs+"/"+slow, "", "")
+		x.do("cancel of a job that was never submitted", http.MethodDelete, jobs+"/"+d.key("10.0.1.1", "key-3"), "", "")
+		x.do("announcement without slots", http.MethodPut, worker, "", `{"service":"sighting","address":"10.0.2.1:7400"}`)
+		x.do("announcement with a bad address", http.MethodPut, worker, "", `{"service":"sighting","address":"7400","slots":2}`)
+		x.do("announcement with an unknown field", http.MethodPut, worker, "", `{"service":"sighting","slot":2}`)
+		d.close()
+		starts := d.nodes["10.0.2.1/endpoint"].endpoint.Starts()
+		fmt.Fprintf(&x.text, "# tasks that the endpoint started: %d\n", len(starts))
+		x.golden("caller_exchanges")
+	})
+}
+
+// TestNextKeys guards against one next_key for two callers that wait for the same job: the second of their next jobs would
+// be taken for a resubmission of the first.
+func TestNextKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startEntry("10.0.1.1")
+		d.startWorker("10.0.2.1", 2)
+		time.Sleep(settleTime)
+		key := d.key("10.0.1.1", "key-1")
+		const waiting = 8
+		next := map[string]bool{}
+		answers := make([]string, waiting)
+		var callers sync.WaitGroup
+		for i := range waiting {
+			callers.Go(func() { answers[i] = d.submit("caller", "10.0.1.1", key, checkJob) })
+		}
+		callers.Wait()
+		d.close()
+		for _, answer := range answers {
+			next[nextKeyPattern.FindString(answer)] = true
+		}
+		convey.Convey("each caller has its own", t, func() { convey.So(next, convey.ShouldHaveLength, waiting) })
+	})
+}
--- a/hibiscusprotocol/caller_http.go
+++ b/hibiscusprotocol/caller_http.go
@@ -6,11 +6,11 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
 	"hibiscusrouter/hibiscuscoordination"
@@ -22,13 +22,17 @@
 const (
 	// maxBodyBytes bounds the body of a submission.
 	maxBodyBytes = 8 << 20
+	// maxPayloadBytes bounds the payload of one task; payloads are held in memory until the job's record is forgotten.
+	maxPayloadBytes = 1 << 20
+	// maxMilliseconds bounds the times in a submission to a day; larger ones would overflow a time.Duration.
+	maxMilliseconds = 24 * 60 * 60 * 1000
 	// maxKeysPerRequest bounds a batch of submission keys.
 	maxKeysPerRequest = 1000
 	// maxWait bounds how long a request waits for an answer; the caller may ask again.
 	maxWait = 5 * time.Minute
-	// minAnswerWait is how long the dispatch duty may take to say the state of a job; a forward to another entry needs a
-	// round trip.
-	minAnswerWait = time.Second
+	// stateWait is how long the dispatch duty may take to say the state of a job after the caller's wait is over; a forward
+	// to another entry needs a round trip, and a recovery from the agents a second.
+	stateWait = 1500 * time.Millisecond
 	// keyHeader carries the submission key.
 	keyHeader = "Idempotency-Key"
 )
@@ -60,6 +64,8 @@
 	r.Delete("/v1/jobs/{key}", c.deleteJob)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, healthBody{Status: "ok"}) })
 	r.Get("/readyz", c.getReady)
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) { writeNoRoute(w, r, http.StatusNotFound) })
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) { writeNoRoute(w, r, http.StatusMethodNotAllowed) })
 }
 
 type healthBody struct {
@@ -77,7 +83,7 @@
 type jobRequest struct {
 	Team       string        `json:"team"`
 	Service    string        `json:"service"`
-	DeadlineMS int64         `json:"deadline_ms"`
+	DeadlineMS *int64        `json:"deadline_ms"`
 	Attempt    int           `json:"attempt"`
 	WaitMS     *int64        `json:"wait_ms"`
 	Tasks      []taskRequest `json:"tasks"`
@@ -132,7 +138,7 @@
 	}
 	keys, err := c.issue(request.Count)
 	if err != nil {
-		writeRefusal(w, hibiscusstate.RefusalDraining, "this entry is stopping; ask again through the balancer")
+		writeRefusal(w, hibiscusstate.RefusalDraining, "this entry is stopping; send the request again through the balancer")
 		return
 	}
 	body := keysBody{SubmissionKeys: make([]string, len(keys))}
@@ -143,44 +149,82 @@
 }
 
 func (c *CallerAPI) postJob(w http.ResponseWriter, r *http.Request) {
-	key, err := c.signer.Parse(r.Header.Get(keyHeader))
-	if err != nil {
-		writeRefusal(w, hibiscusstate.RefusalKeyNotIssued, "the "+keyHeader+" header must hold a key from POST /v1/keys")
+	key, ok := c.headerKey(w, r)
+	if !ok {
 		return
 	}
-	var request jobRequest
-	digest := sha256.New()
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
-	if !readJSONFrom(w, io.TeeReader(r.Body, digest), &request) {
+	body, ok := readBody(w, r, maxBodyBytes)
+	if !ok {
 		return
 	}
-	if request.DeadlineMS < 0 {
-		writeRefusal(w, hibiscusstate.RefusalDeadlinePassed, "deadline_ms is in the past")
+	var request jobRequest
+	if !decodeJSON(w, body, &request) || !checkTimes(w, &request) || !checkTasks(w, request.Tasks) {
 		return
 	}
 	tasks := make([]hibiscusstate.TaskSpec, len(request.Tasks))
 	for i, t := range request.Tasks {
 		tasks[i] = hibiscusstate.NewTaskSpec(t.Kind, t.Payload, milliseconds(t.RunMS))
 	}
-	wait := maxWait
+	// The digest covers the bytes as they came, so that a resubmission that differs anywhere is noticed.
+	digest := sha256.Sum256(body)
+	s := hibiscuscoordination.NewSubmission(key, binary.BigEndian.Uint64(digest[:]), request.Team, request.Service, tasks).
+		WithAttempt(request.Attempt).WithWait(maxWait)
+	if request.DeadlineMS != nil {
+		s.WithBudget(milliseconds(*request.DeadlineMS))
+	}
 	if request.WaitMS != nil {
-		wait = min(max(milliseconds(*request.WaitMS), 0), maxWait)
+		s.WithWait(boundWait(*request.WaitMS))
 	}
-	s := hibiscuscoordination.NewSubmission(key, binary.BigEndian.Uint64(digest.Sum(nil)), request.Team, request.Service, tasks).
-		WithBudget(milliseconds(request.DeadlineMS)).WithAttempt(request.Attempt).WithWait(wait)
 	c.serve(w, r, s)
 }
 
+// checkTimes refuses times that make no sense; a deadline that is not given is not zero.
+func checkTimes(w http.ResponseWriter, request *jobRequest) bool {
+	switch {
+	case request.DeadlineMS != nil && *request.DeadlineMS <= 0:
+		writeRefusal(w, hibiscusstate.RefusalDeadlinePassed,
+			fmt.Sprintf("deadline_ms is %d; give the milliseconds from now until the answer is of no more use, or leave it out",
+				*request.DeadlineMS))
+	case request.DeadlineMS != nil && *request.DeadlineMS > maxMilliseconds:
+		writeRefusal(w, hibiscusstate.RefusalBadRequest,
+			fmt.Sprintf("deadline_ms is counted from now, not from 1970, and is at most %d", maxMilliseconds))
+	case request.WaitMS != nil && *request.WaitMS < 0:
+		writeRefusal(w, hibiscusstate.RefusalBadRequest, "wait_ms is negative; give 0 to get the state of the job at once")
+	case request.Attempt < 0:
+		writeRefusal(w, hibiscusstate.RefusalBadRequest, "attempt is negative; give 1 for the first try, or leave it out")
+	default:
+		return true
+	}
+	return false
+}
+
+func checkTasks(w http.ResponseWriter, tasks []taskRequest) bool {
+	for i, t := range tasks {
+		if t.RunMS < 0 || t.RunMS > maxMilliseconds {
+			writeRefusal(w, hibiscusstate.RefusalBadRequest,
+				fmt.Sprintf("task %d: run_ms is %d; give 0 to %d, or leave it out", i, t.RunMS, maxMilliseconds))
+			return false
+		}
+		if len(t.Payload) > maxPayloadBytes {
+			writeRefusal(w, hibiscusstate.RefusalBodyTooLarge,
+				fmt.Sprintf("task %d: the payload has %d bytes, at most %d are taken; send a reference to the data instead",
+					i, len(t.Payload), maxPayloadBytes))
+			return false
+		}
+	}
+	return true
+}
+
+func boundWait(ms int64) time.Duration { return milliseconds(min(ms, maxWait.Milliseconds())) }
+
 func (c *CallerAPI) getJob(w http.ResponseWriter, r *http.Request) {
 	key, ok := c.pathKey(w, r)
 	if !ok {
 		return
 	}
-	waitMS, err := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
-	if err != nil {
-		waitMS = 0
+	if wait, ok := queryWait(w, r, 0); ok {
+		c.serve(w, r, hibiscuscoordination.NewFetch(key).WithWait(wait))
 	}
-	c.serve(w, r, hibiscuscoordination.NewFetch(key).WithWait(min(max(milliseconds(waitMS), 0), maxWait)))
 }
 
 func (c *CallerAPI) deleteJob(w http.ResponseWriter, r *http.Request) {
@@ -188,37 +232,85 @@
 	if !ok {
 		return
 	}
-	c.serve(w, r, hibiscuscoordination.NewCancel(key).WithWait(maxWait))
+	if wait, ok := queryWait(w, r, maxWait); ok {
+		c.serve(w, r, hibiscuscoordination.NewCancel(key).WithWait(wait))
+	}
+}
+
+// queryWait reads wait_ms from the query; it writes the refusal and returns false when the value is no wait.
+func queryWait(w http.ResponseWriter, r *http.Request, unset time.Duration) (time.Duration, bool) {
+	text := r.URL.Query().Get("wait_ms")
+	if text == "" {
+		return unset, true
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 {
+		writeRefusal(w, hibiscusstate.RefusalBadRequest, "wait_ms must be a number of milliseconds, 0 for the state at once")
+		return 0, false
+	}
+	return boundWait(ms), true
+}
+
+func (c *CallerAPI) headerKey(w http.ResponseWriter, r *http.Request) (hibiscusstate.SubmissionKey, bool) {
+	text := r.Header.Get(keyHeader)
+	if text == "" {
+		writeRefusal(w, hibiscusstate.RefusalKeyNotIssued, "the "+keyHeader+" header is missing; get a key from POST /v1/keys")
+		return hibiscusstate.SubmissionKey{}, false
+	}
+	return c.parseKey(w, text)
 }
 
 func (c *CallerAPI) pathKey(w http.ResponseWriter, r *http.Request) (hibiscusstate.SubmissionKey, bool) {
-	key, err := c.signer.Parse(chi.URLParam(r, "key"))
+	return c.parseKey(w, chi.URLParam(r, "key"))
+}
+
+func (c *CallerAPI) parseKey(w http.ResponseWriter, text string) (hibiscusstate.SubmissionKey, bool) {
+	key, err := c.signer.Parse(text)
 	if err != nil {
-		writeRefusal(w, hibiscusstate.RefusalKeyNotIssued, "the path must hold a key from POST /v1/keys")
+		writeRefusal(w, hibiscusstate.RefusalKeyNotIssued,
+			"this deployment did not issue the submission key; get one from POST /v1/keys")
 		return key, false
 	}
 	return key, true
 }
 
-// serve routes a submission and waits for its answer as long as the caller asked to.
+// serve routes a submission and waits for its answer as long as the caller asked to, and then for the state of the job.
 func (c *CallerAPI) serve(w http.ResponseWriter, r *http.Request, s *hibiscuscoordination.Submission) {
+	a, err := c.ask(r.Context(), s, s.Wait())
+	if err == nil && a == nil {
+		// The job may be running, or its entry may not have spoken at all: say what is known now, not what is likely.
+		a, err = c.ask(r.Context(), hibiscuscoordination.NewFetch(s.Key()), stateWait)
+	}
+	switch {
+	case errors.Is(err, hibiscuscoordination.ErrStopped):
+		writeRefusal(w, hibiscusstate.RefusalDraining, "this entry is stopping; send the request again through the balancer")
+	case err != nil:
+	case a == nil:
+		writeRefusalAnswer(w, hibiscuscoordination.NewRefusal(s.Key(), hibiscusstate.RefusalOutcomeUnknown, false,
+			"the state of the job could not be told in time; send the request again with the same key"))
+	default:
+		c.writeAnswer(w, a)
+	}
+}
+
+// ask routes a submission and waits for its answer, at most for wait; it returns nil without an error when none came.
+func (c *CallerAPI) ask(
+	ctx context.Context, s *hibiscuscoordination.Submission, wait time.Duration,
+) (*hibiscuscoordination.Answer, error) {
 	answers := hibiscusstate.NewRing[*hibiscuscoordination.Answer](1)
 	if err := c.submit(s, func(a *hibiscuscoordination.Answer) { answers.TryPush(a) }); err != nil {
-		writeRefusal(w, hibiscusstate.RefusalDraining, "this entry is stopping; ask again through the balancer")
-		return
+		return nil, err
 	}
-	stop := context.AfterFunc(r.Context(), answers.Close)
+	stop := context.AfterFunc(ctx, answers.Close)
 	defer stop()
 	var one [1]*hibiscuscoordination.Answer
-	n, err := answers.PopBatch(one[:], max(s.Wait(), minAnswerWait))
-	if err != nil {
-		return
+	if s.Wait() == 0 {
+		wait = stateWait
 	}
-	if n == 0 {
-		c.writeAnswer(w, hibiscuscoordination.NewJobAnswer(s.Key(), hibiscusstate.JobRunning, nil))
-		return
+	if _, err := answers.PopBatch(one[:], wait); err != nil {
+		return nil, err
 	}
-	c.writeAnswer(w, one[0])
+	return one[0], nil
 }
 
 func (c *CallerAPI) writeAnswer(w http.ResponseWriter, a *hibiscuscoordination.Answer) {
@@ -245,6 +337,15 @@
 	writeRefusalAnswer(w, hibiscuscoordination.NewRefusal(hibiscusstate.SubmissionKey{}, refusal, true, message))
 }
 
+// writeNoRoute answers a request for a path or method that no part of the process serves.
+func writeNoRoute(w http.ResponseWriter, r *http.Request, status int) {
+	writeJSON(w, status, errorBody{Error: errorDetail{
+		Code:    hibiscusstate.RefusalBadRequest.String(),
+		Message: fmt.Sprintf("%s %s is not served here; docs/api.md lists the paths", r.Method, r.URL.Path),
+		Run:     hibiscusstate.OutcomeNotRun.String(),
+	}})
+}
+
 func writeRefusalAnswer(w http.ResponseWriter, a *hibiscuscoordination.Answer) {
 	detail := errorDetail{
 		Code: a.Refusal().String(), Message: a.Message(), Run: hibiscusstate.OutcomeMayHaveRun.String(),
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -339,7 +339,7 @@
 		a = hibiscuscoordination.NewJobAnswer(key, enum(in, "job state", f.GetState(), hibiscusstate.JobCancelled), tasks)
 	}
 	if f.HasNextKey() {
-		a.WithNextKey(in.key(f.GetNextKey()))
+		a = a.WithNextKey(in.key(f.GetNextKey()))
 	}
 	return a.WithRetryAfter(microseconds(f.GetRetryAfterUs()))
 }
--- a/hibiscusprotocol/json.go
+++ b/hibiscusprotocol/json.go
@@ -1,6 +1,7 @@
 package hibiscusprotocol
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,31 +16,54 @@
 // maxSmallBodyBytes bounds every body but that of a submission.
 const maxSmallBodyBytes = 1 << 20
 
-// readJSON reads a body into v; it writes the refusal and returns false when it can't.
+// readJSON reads a body into v, which keeps its defaults when the body is empty; it writes the refusal and returns false
+// when it can't.
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	return readJSONFrom(w, http.MaxBytesReader(w, r.Body, maxSmallBodyBytes), v)
+	body, ok := readBody(w, r, maxSmallBodyBytes)
+	return ok && (len(body) == 0 || decodeJSON(w, body, v))
 }
 
-func readJSONFrom(w http.ResponseWriter, body io.Reader, v any) bool {
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(v)
-	if errors.Is(err, io.EOF) {
-		err = nil
-	}
-	if err == nil && decoder.More() {
-		err = errors.New("body goes on after the JSON value")
-	}
+// readBody reads a whole body of at most limit bytes; it writes the refusal and returns false when it can't.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		return true
+		return body, true
 	case errors.As(err, &tooLarge):
-		writeRefusal(w, hibiscusstate.RefusalBodyTooLarge, errors.Newf("the body is larger than %d bytes", tooLarge.Limit).Error())
+		writeRefusal(w, hibiscusstate.RefusalBodyTooLarge,
+			errors.Newf("the body is larger than %d bytes; send fewer tasks in one job or smaller payloads", limit).Error())
 	default:
-		writeRefusal(w, hibiscusstate.RefusalBadRequest, errors.Newf("the body is not valid JSON: %v", err).Error())
+		writeRefusal(w, hibiscusstate.RefusalBadRequest, "the body did not arrive whole; send the request again")
+	}
+	return nil, false
+}
+
+// decodeJSON decodes the one JSON value of a body into v; it writes the refusal and returns false when it can't.
+func decodeJSON(w http.ResponseWriter, body []byte, v any) bool {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(v)
+	var mistyped *json.UnmarshalTypeError
+	switch {
+	case errors.Is(err, io.EOF):
+		err = errors.New("it is empty")
+	case errors.As(err, &mistyped):
+		// The library's own message names Go types.
+		err = errors.Newf("field %q cannot be a %s", mistyped.Field, mistyped.Value)
+	}
+	if err == nil {
+		// Decoder.More takes a closing bracket for the end, so it would let "{}}" pass.
+		if _, trailing := decoder.Token(); !errors.Is(trailing, io.EOF) {
+			err = errors.Newf("it goes on after the JSON value, at byte %d", decoder.InputOffset())
+		}
+	}
+	if err != nil {
+		writeRefusal(w, hibiscusstate.RefusalBadRequest,
+			errors.Newf("the body is not a valid request: %v; docs/api.md lists the fields", err).Error())
+		return false
 	}
-	return false
+	return true
 }
 
 // writeJSON writes a body; a failure means that the peer is gone, which the server notices by itself.
