Run as separate processes, with examples of both users

Cause: the demo runs everything in one process; no settings, texts or jobs were there for real processes. Ruled out: fixed ports in the test; a committed file of 1,800 tasks: the job command prints the same bytes each time.

--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -98,6 +98,7 @@
 		{"platform", "run the stand-in for the platform's table service and object store", platformHelp, &platformCommand{env: env}},
 		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
+		{"job", "print a job file like the users'", jobHelp, &jobCommand{env: env}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
--- a/hibiscusstandin/endpoint.go
+++ b/hibiscusstandin/endpoint.go
@@ -77,6 +77,25 @@
 	return starts
 }
 
+type startsBody struct {
+	Tasks    int `json:"tasks"`
+	Starts   int `json:"starts"`
+	Repeated int `json:"repeated"`
+}
+
+// getStarts tells how many tasks were started, how often in all, and how many of them more than once.
+func (e *Endpoint) getStarts(w http.ResponseWriter, _ *http.Request) {
+	var body startsBody
+	for _, n := range e.Starts() {
+		body.Tasks++
+		body.Starts += n
+		if n > 1 {
+			body.Repeated++
+		}
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
 type runRequest struct {
 	TaskID      string          `json:"task_id"`
 	Kind        string          `json:"kind"`
@@ -111,6 +130,7 @@
 func (e *Endpoint) Serve(ctx context.Context, l net.Listener) error {
 	r := chi.NewRouter()
 	r.Post("/run", e.postRun)
+	r.Get("/starts", e.getStarts)
 	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Second}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
