Drive an entry with jobs and measure its throughput

Cause: the target of 15,000 tasks/s through one entry had no command that measures it. Ruled out: real endpoints behind the agents: their HTTP calls are the agents' cost and take the cores that the entry should be measured on. The agents in the load process run the production slots duty and sessions; only their runners answer by themselves. Their incarnations and sessions are those of agents, so the entry cannot tell. The machine was shared, so the processor time is the steadier figure.

--- /dev/null
+++ b/hibiscuscapacity/agents.go
@@ -0,0 +1,97 @@
+package hibiscuscapacity
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusstate"
+	"hibiscusrouter/hibiscustransport"
+)
+
+// Agents for measurements: the production slots duty and sessions, but runners that answer by themselves, at once or after a
+// given time. The HTTP between an agent and its endpoint is the agent's cost, and would hide that of the entry.
+
+// announceEvery is how often the agents are told of their endpoint, like a real one does it.
+const announceEvery = time.Second
+
+var finishedOutput = []byte(`{"ok":true}`)
+
+// Agents are agents without endpoints, all in this process.
+type Agents struct {
+	duties sync.WaitGroup
+}
+
+// AgentsSettings say what the agents offer and whom they connect to.
+type AgentsSettings struct {
+	count   int
+	service string
+	slots   int
+	runTime time.Duration
+	secret  []byte
+	entries []string
+	log     *slog.Logger
+}
+
+// NewAgentsSettings returns settings for count agents that each open a session to each of the entries' session addresses.
+func NewAgentsSettings(count int, service string, slots int, secret []byte, entries []string, log *slog.Logger) AgentsSettings {
+	return AgentsSettings{count: count, service: service, slots: slots, secret: secret, entries: entries, log: log}
+}
+
+// WithRunTime returns the settings with the time that each task takes, zero to answer at once.
+func (s AgentsSettings) WithRunTime(runTime time.Duration) AgentsSettings {
+	s.runTime = runTime
+	return s
+}
+
+// StartAgents runs agents until ctx is done.
+func StartAgents(ctx context.Context, network hibiscustransport.Network, settings AgentsSettings) *Agents {
+	a := &Agents{}
+	for i := range settings.count {
+		a.start(ctx, network, settings, i)
+	}
+	return a
+}
+
+// Wait returns when all agents have ended.
+func (a *Agents) Wait() { a.duties.Wait() }
+
+func (a *Agents) start(ctx context.Context, network hibiscustransport.Network, settings AgentsSettings, i int) {
+	identity := hibiscuscoordination.NewIdentity(hibiscusstate.Incarnation(rand.Uint64()), fmt.Sprintf("127.0.0.1:%d", 50_000+i), "a")
+	agent := hibiscuscoordination.NewAgent(identity, settings.execute, settings.log)
+	connector := hibiscustransport.NewConnector(network, settings.secret, hibiscustransport.NewSessionHandlers(
+		agent.Hello, agent.PeerUp, agent.PeerMessage, agent.PeerDown), settings.log)
+	a.duties.Go(agent.Run)
+	a.duties.Go(func() { settings.announce(ctx, agent) })
+	a.duties.Go(func() {
+		connector.Reconcile(ctx, func() []string { return settings.entries })
+		agent.Stop()
+	})
+}
+
+func (s AgentsSettings) execute(ctx context.Context, _ hibiscusstate.Order) hibiscuscoordination.RunResult {
+	if s.runTime > 0 {
+		select {
+		case <-ctx.Done():
+			return hibiscuscoordination.NewRunResult(hibiscusstate.OutcomeStopped, nil, "the task was stopped while it ran")
+		case <-time.After(s.runTime):
+		}
+	}
+	return hibiscuscoordination.NewRunResult(hibiscusstate.OutcomeFinished, finishedOutput, "")
+}
+
+func (s AgentsSettings) announce(ctx context.Context, agent *hibiscuscoordination.Agent) {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for agent.Announce(s.service, s.slots) == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/hibiscuscommand/processes.go
+++ b/hibiscuscommand/processes.go
@@ -32,10 +32,16 @@
 type entryCommand struct {
 	env      *environment
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML)"`
+	Profile  string `long:"cpu-profile" value-name:"FILE" description:"write a profile of the processor time (pprof)"`
 }
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
+	stopProfile, err := profileTo(c.Profile)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	settings, err := hibiscusprotocol.LoadEntrySettings(c.Settings)
 	if err != nil {
 		return err
--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -99,6 +99,7 @@
 		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
 		{"job", "print a job file like the users'", jobHelp, &jobCommand{env: env}},
+		{"load", "drive an entry and print its task throughput", loadHelp, &loadCommand{env: env}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
