Keep the state of the key's HMAC between uses

Cause: each key that is formatted or parsed set up an HMAC anew, 4.5% of the entry's profile at one task for each request. Ruled out: a shorter MAC, which changes nothing: the set-up is what costs.

--- a/hibiscusstate/key.go
+++ b/hibiscusstate/key.go
@@ -6,8 +6,10 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"hash"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // A submission key names the entry incarnation that holds the job's record. Only that incarnation ever starts tasks under
@@ -78,15 +80,23 @@
 
 // KeySigner turns submission keys into texts that callers can't forge, and back.
 type KeySigner struct {
-	secret []byte
+	macs sync.Pool
 }
 
 // NewKeySigner returns a signer; all entries of a deployment share the secret.
-func NewKeySigner(secret []byte) *KeySigner { return &KeySigner{secret: secret} }
+func NewKeySigner(secret []byte) *KeySigner {
+	return &KeySigner{macs: sync.Pool{New: func() any { return hmac.New(sha256.New, secret) }}}
+}
 
 // Format returns the text form of k, hr1-INCARNATION-SEQUENCE-MAC.
 func (s *KeySigner) Format(k SubmissionKey) string {
-	return fmt.Sprintf("%s-%s-%x-%s", keyPrefix, k.incarnation, k.sequence, hex.EncodeToString(s.mac(k)))
+	text := make([]byte, 0, 64)
+	text = append(text, keyPrefix+"-"...)
+	text = append(text, k.incarnation.String()...)
+	text = append(text, '-')
+	text = strconv.AppendUint(text, k.sequence, 16)
+	text = append(text, '-')
+	return string(hex.AppendEncode(text, s.mac(k)))
 }
 
 // Parse returns the key of a text form, or ErrBadKey.
@@ -115,7 +125,10 @@
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:8], uint64(k.incarnation))
 	binary.BigEndian.PutUint64(b[8:], k.sequence)
-	h := hmac.New(sha256.New, s.secret)
+	// Setting up the HMAC hashes two blocks of the key; a used one keeps their state.
+	h := s.macs.Get().(hash.Hash)
+	defer s.macs.Put(h)
+	h.Reset()
 	h.Write(b[:])
 	return h.Sum(nil)[:keyMACBytes]
 }
