--- a/hibiscusprotocol/settings.go
+++ b/hibiscusprotocol/settings.go
@@ -27,6 +27,8 @@
 	SharedKey       string   `yaml:"shared_key"`
 	SeedEntries     []string `yaml:"seed_entries"`
 	DrainMS         *int64   `yaml:"drain_ms"`
+	OperatorToken   string   `yaml:"operator_token"`
+	ViewerToken     string   `yaml:"viewer_token"`
 }
 
 // EntrySettings are the settings of an entry process.
@@ -54,8 +56,15 @@
 	if err != nil {
 		return EntrySettings{}, err
 	}
-	err = errors.CombineErrors(checkAddress(name, "caller_address", file.CallerAddress),
-		checkAddress(name, "session_address", file.SessionAddress))
+	if file.PlatformAddress != "" {
+		err = checkAddress(name, "platform_address", file.PlatformAddress)
+	}
+	for _, next := range []error{
+		checkAddress(name, "caller_address", file.CallerAddress), checkAddress(name, "session_address", file.SessionAddress),
+		checkToken(name, "operator_token", file.OperatorToken), checkToken(name, "viewer_token", file.ViewerToken),
+	} {
+		err = errors.CombineErrors(err, next)
+	}
 	return EntrySettings{file: file}, err
 }
 
@@ -104,6 +113,14 @@
 	return nil
 }
 
+// checkToken accepts an administration token that is not set or long enough.
+func checkToken(name, field, token string) error {
+	if token != "" && len(token) < minSecretBytes {
+		return errors.Mark(errors.Newf("%s: %s must have at least %d bytes", name, field, minSecretBytes), ErrBadSettings)
+	}
+	return nil
+}
+
 // CallerAddress returns where callers reach the entry over HTTP.
 func (s EntrySettings) CallerAddress() string { return s.file.CallerAddress }
 
@@ -122,6 +139,12 @@
 // SeedEntries returns the session addresses of entries to start with.
 func (s EntrySettings) SeedEntries() []string { return s.file.SeedEntries }
 
+// OperatorToken returns the token that may change things through the administration API, empty for none.
+func (s EntrySettings) OperatorToken() string { return s.file.OperatorToken }
+
+// ViewerToken returns the token that may read through the administration API, empty for none.
+func (s EntrySettings) ViewerToken() string { return s.file.ViewerToken }
+
 // DrainTime returns how long a stopping entry still takes jobs while the balancer notices.
 func (s EntrySettings) DrainTime() time.Duration {
 	if s.file.DrainMS == nil {
