Serve operators over HTTP: views, drains, readiness, metrics

Cause: operators could not see an entry's services, queues, endpoints or refusals, and could take nothing out of service. /readyz of a stopping entry stayed up until the entry refused jobs, so the balancer sent callers into refusals. An agent had no /readyz. A cancelled job with a task that waited at an agent ended the entry's process: the counter of rejections had no place for "stopped". Ruled out: an entry that drains a worker only in its own view (the other entries go on sending), a list of drained workers in the table (not changeable in a table outage), and an answer before the agent has confirmed (a request that is lost with its session would look done). Conclusion: what operators see comes from copies taken on the duty; a drain holds at every entry because the agent keeps it.

--- /dev/null
+++ b/hibiscuscoordination/administration_test.go
@@ -0,0 +1,177 @@
+package hibiscuscoordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// drainScene is an entry with one agent whose messages a test answers by hand, and a transcript of all that happens.
+type drainScene struct {
+	lines []string
+	entry *Entry
+	peer  *Peer
+}
+
+func newDrainScene() *drainScene {
+	s := &drainScene{}
+	s.entry = NewEntry(NewIdentity(1, "10.0.1.1:7200", "a"), func(e Event) {
+		s.note("event: %s %s, %s", e.Kind(), e.Subject(), e.Cause())
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	hello := NewHello(RoleAgent, 9, "10.0.2.1:7300", "a", 0, Capacity{})
+	s.peer = NewPeer(hello, func(m Message) bool {
+		if m.Kind() == MessageCapacity {
+			s.note("agent is asked: drained=%v", m.Capacity().Drained())
+		}
+		return true
+	}, func() {})
+	go s.entry.Run()
+	s.tell(s.entry.PeerUp(s.peer))
+	s.capacity(false)
+	return s
+}
+
+func (s *drainScene) note(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf(format, args...))
+}
+
+func (s *drainScene) tell(err error) {
+	if err != nil {
+		s.note("%v", err)
+	}
+	synctest.Wait()
+}
+
+// capacity lets the agent say what it offers.
+func (s *drainScene) capacity(drained bool) {
+	s.tell(s.entry.PeerMessage(s.peer, NewCapacityMessage(NewCapacity("sighting", 8, false, 1).WithDrained(drained))))
+	workers, err := s.entry.Workers()
+	s.note("agent says drained=%v: %s %q, %v", drained, workers[0].Health(), workers[0].HealthCause(), err)
+}
+
+// drain starts an operator's request; its result appears in the transcript when it comes.
+func (s *drainScene) drain(address string, drained bool) {
+	began := time.Now()
+	go func() {
+		err := s.entry.DrainWorker(address, drained, "operator ama from 10.0.9.1")
+		s.note("operator <- drained=%v after %v: %v", drained, time.Since(began), err)
+	}()
+	synctest.Wait()
+}
+
+// TestDrainWorker guards against an operator who is told that a worker is out while its agent never heard of it, against a
+// request that hangs when the agent or its session is gone, and against a drain without an audit event.
+func TestDrainWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDrainScene()
+		s.drain("10.0.9.9:7300", true)
+		s.drain("10.0.2.1:7300", true)
+		s.capacity(false)
+		s.capacity(true)
+		s.drain("10.0.2.1:7300", false)
+		time.Sleep(drainTimeout)
+		synctest.Wait()
+		s.note("the agent's word comes late")
+		s.capacity(false)
+		s.drain("10.0.2.1:7300", true)
+		s.note("the session is lost")
+		s.tell(s.entry.PeerDown(s.peer))
+		s.entry.Stop()
+		synctest.Wait()
+		goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "drain_worker", []byte(strings.Join(s.lines, "\n")+"\n"))
+	})
+}
+
+// TestDrainedSlots guards against an agent that takes orders of an entry which has not heard of the drain yet, and against
+// an announcement of the endpoint, which comes every second, that ends the drain.
+func TestDrainedSlots(t *testing.T) {
+	Convey("A drained agent rejects orders until it is put back", t, func() {
+		now := time.Unix(0, 0)
+		var said []string
+		k := NewSlotKeeper(9, NewSlotKeeperSeams(func(_ hibiscusstate.Incarnation, m Message) bool {
+			for _, r := range m.Reports() {
+				said = append(said, r.Rejection().String())
+			}
+			if m.Kind() == MessageCapacity {
+				said = append(said, fmt.Sprintf("drained=%v", m.Capacity().Drained()))
+			}
+			return true
+		}, func(int, hibiscusstate.Order) { said = append(said, "started") }, nil))
+		order := func(sequence uint64) []hibiscusstate.Order {
+			id := hibiscusstate.NewTaskID(hibiscusstate.NewSubmissionKey(1, sequence), 0)
+			return []hibiscusstate.Order{hibiscusstate.NewOrder(hibiscusstate.NewTaskTry(id, 0), 1, 0, "list_sync", nil).
+				WithBudget(time.Second).WithLease(1)}
+		}
+		k.SetEndpoint(now, "sighting", 8)
+		k.EntryUp(now, 1)
+		k.SetDrained(1, true)
+		k.SetDrained(1, true)
+		k.SetEndpoint(now, "sighting", 8)
+		k.Orders(now, 1, order(1))
+		k.SetDrained(1, false)
+		k.Orders(now, 1, order(2))
+		So(said, ShouldResemble, []string{
+			"drained=false", "drained=true", "drained=true", "leaving", "drained=false", "started",
+		})
+	})
+}
+
+// TestCountersHoldEveryReason guards against a reason that is added to an enum and not to the counters: a cancelled job
+// with a task that waited at an agent ended the entry's process, because rejection "stopped" was out of range.
+func TestCountersHoldEveryReason(t *testing.T) {
+	Convey("Every named reason has a counter", t, func() {
+		var c Counters
+		var k SlotKeeper
+		k.outbox = map[hibiscusstate.Incarnation][]hibiscusstate.Report{}
+		n := 0
+		for r := hibiscusstate.RejectionNone; !strings.HasPrefix(r.String(), "Rejection("); r++ {
+			So(func() { c.countRejection(r); k.reject(1, hibiscusstate.TaskTry{}, r) }, ShouldNotPanic)
+			n++
+		}
+		for r := hibiscusstate.RefusalNone; !strings.HasPrefix(r.String(), "Refusal("); r++ {
+			So(func() { c.countRefusal(r); (&serviceTotals{}).refusals[r]++ }, ShouldNotPanic)
+			n++
+		}
+		for o := hibiscusstate.OutcomePending; !strings.HasPrefix(o.String(), "Outcome("); o++ {
+			So(func() { c.countOutcome(o); k.outcomes[o]++ }, ShouldNotPanic)
+			n++
+		}
+		So(n, ShouldBeGreaterThan, 35)
+	})
+}
+
+// TestServiceTotals guards against a job that missed its deadline and counts as in time, whole or in part.
+func TestServiceTotals(t *testing.T) {
+	Convey("Tasks count by how their job ended", t, func() {
+		deadline := time.Unix(10, 0)
+		var totals serviceTotals
+		end := func(after time.Duration, cancel bool, outcomes ...hibiscusstate.Outcome) {
+			job := hibiscusstate.NewJob(hibiscusstate.NewSubmissionKey(1, 1), 0, "nokkhao", "sighting", time.Unix(0, 0), deadline)
+			job.AddTasks(make([]hibiscusstate.TaskSpec, len(outcomes)))
+			if cancel {
+				job.Cancel()
+			}
+			for i, o := range outcomes {
+				job.Task(i).Resolve(o, nil, "", 0)
+			}
+			So(job.Finish(deadline.Add(after)), ShouldBeTrue)
+			totals.countJob(job)
+		}
+		finished, failed, notRun := hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeFailed, hibiscusstate.OutcomeNotRun
+		end(-time.Millisecond, false, finished, finished)
+		end(0, false, finished)
+		end(0, false, finished, notRun)
+		end(-time.Second, false, finished, failed, notRun, notRun)
+		end(time.Second, true, notRun, notRun, notRun, notRun, notRun)
+		So([]uint64{totals.inTime, totals.late, totals.failed, totals.cancelled}, ShouldResemble, []uint64{2, 3, 4, 5})
+	})
+}
--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -155,8 +155,11 @@
 		for _, member := range m.Members() {
 			a.members[member.Incarnation()] = member
 		}
+	case MessageCapacity:
+		a.log.Info("agent: an operator changed the drain", "drained", m.Capacity().Drained())
+		a.keeper.SetDrained(id, m.Capacity().Drained())
 	case MessageHello, MessagePing, MessagePong:
-	case MessageReports, MessageRecovered, MessageForward, MessageForwarded, MessageCapacity:
+	case MessageReports, MessageRecovered, MessageForward, MessageForwarded:
 		a.log.Warn("session: message not meant for an agent", "kind", m.Kind().String())
 	}
 }
@@ -189,6 +192,9 @@
 
 func (a *Agent) sendToEntry(entry hibiscusstate.Incarnation, m Message) bool {
 	p := a.entries[entry]
+	if p != nil {
+		a.keeper.messages++
+	}
 	return p != nil && p.Send(m)
 }
 
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -84,6 +84,7 @@
 	longs    int
 	failures float64
 	retries  float64
+	totals   serviceTotals
 }
 
 // assignment is a worker with the tasks of this entry that it has.
@@ -177,6 +178,7 @@
 	}
 	used, err := d.window.Used(s.key.Sequence())
 	if refusal := d.refuseKey(s, used, err); refusal != nil {
+		d.countRefusal(s, refusal)
 		reply(refusal)
 		return
 	}
@@ -185,7 +187,7 @@
 		return
 	}
 	if refusal := d.admit(s); refusal != nil {
-		d.counters.countRefusal(refusal.refusal)
+		d.countRefusal(s, refusal)
 		reply(refusal)
 		return
 	}
@@ -351,10 +353,14 @@
 	a.pool.slots += c.slots - a.worker.Slots()
 	a.worker.SetSlots(c.slots)
 	switch {
-	case c.leaving && a.worker.Health() != hibiscusstate.HealthLeaving:
+	case c.leaving:
+		if a.worker.Health() != hibiscusstate.HealthLeaving {
+			d.event(NewWorkerEvent(hibiscusstate.EventWorkerLeaving, a.worker, "the endpoint is leaving"))
+		}
 		a.worker.SetHealth(hibiscusstate.HealthLeaving, "the endpoint is leaving")
-		d.event(NewWorkerEvent(hibiscusstate.EventWorkerLeaving, a.worker, "the endpoint is leaving"))
-	case !c.leaving && a.worker.Health() == hibiscusstate.HealthLeaving:
+	case c.drained:
+		a.worker.SetHealth(hibiscusstate.HealthLeaving, "an operator drained the endpoint")
+	case a.worker.Health() == hibiscusstate.HealthLeaving:
 		a.worker.SetHealth(hibiscusstate.HealthGood, "")
 	}
 	a.pool.heap.Update(a.worker)
@@ -525,6 +531,7 @@
 	heap.Remove(&d.deadlines, r.index)
 	d.finished.PushBack(r)
 	d.counters.countJob(r.job)
+	d.pool(r.job.Service()).totals.countJob(r.job)
 	answer := d.answer(r.job)
 	for _, reply := range r.waiters {
 		reply(answer)
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -22,6 +22,7 @@
 	members     map[hibiscusstate.Incarnation]Member
 	forwards    map[uint64]*forward
 	recoveries  map[hibiscusstate.SubmissionKey]*recovery
+	drains      map[hibiscusstate.Incarnation]*drainRequest
 	lastRequest uint64
 	event       func(Event)
 	log         *slog.Logger
@@ -57,6 +58,7 @@
 		members:    map[hibiscusstate.Incarnation]Member{},
 		forwards:   map[uint64]*forward{},
 		recoveries: map[hibiscusstate.SubmissionKey]*recovery{},
+		drains:     map[hibiscusstate.Incarnation]*drainRequest{},
 		event:      event,
 		log:        log,
 	}
@@ -107,11 +109,11 @@
 	return err == nil && ready
 }
 
-// Drain makes the entry refuse new jobs.
-func (e *Entry) Drain() error {
+// Drain makes the entry refuse new jobs, for a cause that the audit trail keeps.
+func (e *Entry) Drain(cause string) error {
 	return e.duty.do(func(time.Time) {
 		e.dispatcher.Drain()
-		e.event(NewEvent(hibiscusstate.EventDrainStarted, e.identity.address, "the process was asked to stop"))
+		e.event(NewEvent(hibiscusstate.EventDrainStarted, e.identity.address, cause))
 	})
 }
 
@@ -226,6 +228,7 @@
 		}
 		delete(e.agents, hello.Incarnation())
 		e.dispatcher.WorkerDown(now, hello.Incarnation())
+		e.answerDrain(hello.Incarnation(), ErrNoAnswer)
 		e.recoveryLost(now, hello.Incarnation())
 	case RoleEntry:
 		if e.peers[hello.Incarnation()] != p {
@@ -258,6 +261,7 @@
 		e.dispatcher.Reports(now, id, m.Reports())
 	case MessageCapacity:
 		e.dispatcher.Capacity(now, id, m.Capacity())
+		e.confirmDrain(p, m.Capacity())
 	case MessageRecovered:
 		e.recovered(now, id, m)
 	case MessageForward:
--- a/hibiscuscoordination/errors.go
+++ b/hibiscuscoordination/errors.go
@@ -10,4 +10,8 @@
 	ErrConflict = errors.New("configuration changed since the version that the edit was based on")
 	// ErrPlatformUnavailable says that the table service did not answer.
 	ErrPlatformUnavailable = errors.New("table service is not available")
+	// ErrUnknownWorker says that no connected worker has the given address.
+	ErrUnknownWorker = errors.New("no connected endpoint has this address")
+	// ErrNoAnswer says that a worker's agent did not confirm a request in time; repeating the request is safe.
+	ErrNoAnswer = errors.New("the agent did not confirm in time; the request may have taken effect and may be repeated")
 )
--- a/hibiscuscoordination/event.go
+++ b/hibiscuscoordination/event.go
@@ -40,7 +40,7 @@
 	jobStates  [hibiscusstate.JobCancelled + 1]uint64
 	outcomes   [hibiscusstate.OutcomeStopped + 1]uint64
 	refusals   [hibiscusstate.RefusalOutcomeUnknown + 1]uint64
-	rejections [hibiscusstate.RejectionExpired + 1]uint64
+	rejections [hibiscusstate.RejectionStopped + 1]uint64
 }
 
 // Jobs returns the number of admitted jobs.
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -76,6 +76,7 @@
 	service string
 	slots   int
 	leaving bool
+	drained bool
 	lease   uint64
 }
 
@@ -93,6 +94,15 @@
 // Leaving says whether the endpoint takes no new work.
 func (c Capacity) Leaving() bool { return c.leaving }
 
+// WithDrained sets whether an operator has taken the worker out.
+func (c Capacity) WithDrained(drained bool) Capacity {
+	c.drained = drained
+	return c
+}
+
+// Drained says whether an operator has taken the worker out; from an entry it asks the agent for that state.
+func (c Capacity) Drained() bool { return c.drained }
+
 // Lease returns the lease epoch that the agent grants to the entry it speaks to.
 func (c Capacity) Lease() uint64 { return c.lease }
 
--- a/hibiscuscoordination/slot_keeper.go
+++ b/hibiscuscoordination/slot_keeper.go
@@ -33,12 +33,17 @@
 	settled     *hibiscusstate.BoundedSet[hibiscusstate.TaskTry]
 	watchers    map[hibiscusstate.SubmissionKey][]watcher
 	leaving     bool
+	drained     bool
 	outbox      map[hibiscusstate.Incarnation][]hibiscusstate.Report
 	send        func(entry hibiscusstate.Incarnation, m Message) bool
 	run         func(slot int, order hibiscusstate.Order)
 	stop        func(slot int, id hibiscusstate.TaskID)
 	started     uint64
 	duplicates  uint64
+	leases      uint64
+	messages    uint64
+	outcomes    [hibiscusstate.OutcomeStopped + 1]uint64
+	rejections  [hibiscusstate.RejectionStopped + 1]uint64
 }
 
 // client is an entry as the agent knows it.
@@ -116,7 +121,7 @@
 
 // Capacity returns what the endpoint offers to an entry.
 func (k *SlotKeeper) Capacity(entry hibiscusstate.Incarnation) Capacity {
-	return NewCapacity(k.service, k.limit, k.leaving, k.client(entry).lease)
+	return NewCapacity(k.service, k.limit, k.leaving, k.client(entry).lease).WithDrained(k.drained)
 }
 
 // SetEndpoint takes an announcement: the service of the endpoint and its slots, zero when it is gone.
@@ -143,6 +148,17 @@
 	k.announce()
 }
 
+// SetDrained takes an operator's word that the worker is to be out, or back; the entry that passed it on gets an answer
+// even when nothing changes.
+func (k *SlotKeeper) SetDrained(entry hibiscusstate.Incarnation, drained bool) {
+	if k.drained == drained {
+		k.send(entry, NewCapacityMessage(k.Capacity(entry)))
+		return
+	}
+	k.drained = drained
+	k.announce()
+}
+
 func (k *SlotKeeper) announce() {
 	for id, c := range k.entries {
 		if c.connected {
@@ -170,6 +186,9 @@
 	c := k.client(entry)
 	if now.Sub(c.heardAt) > leaseTime {
 		c.lease++
+		if !c.heardAt.IsZero() {
+			k.leases++
+		}
 	}
 	c.heardAt = now
 }
@@ -199,7 +218,7 @@
 		return hibiscusstate.RejectionDuplicate
 	case order.Lease() != k.client(entry).lease:
 		return hibiscusstate.RejectionLeaseExpired
-	case k.leaving:
+	case k.leaving, k.drained:
 		return hibiscusstate.RejectionLeaving
 	case k.limit == 0:
 		return hibiscusstate.RejectionEndpointDown
@@ -256,6 +275,7 @@
 	} else {
 		report := hibiscusstate.NewResult(t.Order().Try(), result.outcome, result.output, result.reason, now.Sub(t.StartedAt())).
 			WithJob(t.Order().Count(), t.Order().Digest())
+		k.outcomes[result.outcome]++
 		t.Finish(report, now)
 		k.tasks.Done(t, now)
 		k.put(t.Entry(), report)
@@ -384,6 +404,7 @@
 }
 
 func (k *SlotKeeper) reject(entry hibiscusstate.Incarnation, try hibiscusstate.TaskTry, rejection hibiscusstate.Rejection) {
+	k.rejections[rejection]++
 	k.put(entry, hibiscusstate.NewRejection(try, rejection))
 }
 
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -54,6 +54,8 @@
 		a.duty.Hello, a.duty.PeerUp, a.duty.PeerMessage, a.duty.PeerDown), a.log)
 	r := chi.NewRouter()
 	a.api.Mount(r)
+	auth := hibiscusprotocol.NewAdminAuth(a.settings.ViewerToken(), "")
+	hibiscusprotocol.NewAgentMetrics(a.duty, connector.Counters).MountAgent(r, auth, a.duty.Ready)
 	var duties sync.WaitGroup
 	var httpErr error
 	duties.Go(a.duty.Run)
--- a/hibiscusprocess/deployment_test.go
+++ b/hibiscusprocess/deployment_test.go
@@ -92,7 +92,7 @@
 func (d *deployment) startEntry(name string) {
 	d.seeds = append(d.seeds, name+":7200")
 	settings, err := hibiscusprotocol.ParseEntrySettings(name, fmt.Appendf(nil,
-		"caller_address: %s:7100\nsession_address: %s:7200\nfailure_domain: a\nshared_key: %s\nseed_entries: [%s]\n",
+		"caller_address: %s:7100\nsession_address: %s:7200\nfailure_domain: a\nshared_key: %s\nseed_entries: [%s]\n"+testTokens,
 		name, name, testSecret, strings.Join(d.seeds, ", ")))
 	d.must(err)
 	document, err := hibiscusprotocol.ParseText("test", []byte(testText))
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,10 @@
 	duty     *hibiscuscoordination.Entry
 	network  hibiscustransport.Network
 	log      *slog.Logger
+	leave    sync.Once
+	stopping atomic.Bool
+	left     chan struct{}
+	table    func() hibiscuscoordination.TableCounters
 }
 
 // NewEntry returns an entry process that has not started; its incarnation must be new and random.
@@ -42,6 +47,8 @@
 	}
 	return &Entry{
 		settings: settings, duty: hibiscuscoordination.NewEntry(identity, event, log), network: network, log: log,
+		left:  make(chan struct{}),
+		table: func() hibiscuscoordination.TableCounters { return hibiscuscoordination.TableCounters{} },
 	}
 }
 
@@ -74,7 +81,7 @@
 	duties.Go(e.duty.Run)
 	duties.Go(func() { connector.Accept(linked, sessions) })
 	duties.Go(func() { connector.Reconcile(linked, e.wantedPeers) })
-	duties.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, callers, e.router(), httpGrace) })
+	duties.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, callers, e.router(connector), httpGrace) })
 
 	<-ctx.Done()
 	e.drain()
@@ -91,20 +98,39 @@
 
 // drain leaves the balancer and finishes what was admitted.
 func (e *Entry) drain() {
-	e.log.Info("entry: draining")
-	time.Sleep(e.settings.DrainTime())
-	if e.duty.Drain() != nil {
-		return
-	}
+	e.beginDrain("the process was asked to stop")
+	<-e.left
 	for !e.duty.Idle() {
 		time.Sleep(drainPoll)
 	}
 }
 
-func (e *Entry) router() chi.Router {
+// beginDrain lowers readiness at once, so that the balancer sends no more callers, and refuses new jobs after the drain time.
+// A drain that an operator began before is not begun again.
+func (e *Entry) beginDrain(cause string) {
+	e.leave.Do(func() {
+		e.log.Info("entry: draining", "cause", cause)
+		e.stopping.Store(true)
+		time.AfterFunc(e.settings.DrainTime(), func() {
+			defer close(e.left)
+			if err := e.duty.Drain(cause); err != nil {
+				e.log.Warn("entry: stopped before its drain was over", "cause", err.Error())
+			}
+		})
+	})
+}
+
+// ready says whether the balancer should send callers here.
+func (e *Entry) ready() bool { return !e.stopping.Load() && e.duty.Ready() }
+
+func (e *Entry) router(connector *hibiscustransport.Connector) chi.Router {
 	r := chi.NewRouter()
 	signer := hibiscusstate.NewKeySigner(e.settings.Secret())
-	hibiscusprotocol.NewCallerAPI(signer, e.duty.Submit, e.duty.IssueKeys, e.duty.Ready).Mount(r)
+	hibiscusprotocol.NewCallerAPI(signer, e.duty.Submit, e.duty.IssueKeys, e.ready).Mount(r)
+	auth := hibiscusprotocol.NewAdminAuth(e.settings.ViewerToken(), e.settings.OperatorToken())
+	drain := func(who, from string) { e.beginDrain("asked by " + who + " from " + from) }
+	hibiscusprotocol.NewAdminAPI(auth, e.duty, e.ready, drain).Mount(r)
+	hibiscusprotocol.NewEntryMetrics(e.duty, connector.Counters, e.table).MountEntry(r, auth)
 	return r
 }
 
--- a/hibiscusprotocol/caller_http.go
+++ b/hibiscusprotocol/caller_http.go
@@ -114,11 +114,7 @@
 }
 
 func (c *CallerAPI) getReady(w http.ResponseWriter, _ *http.Request) {
-	if !c.ready() {
-		writeJSON(w, http.StatusServiceUnavailable, healthBody{Status: "not_ready"})
-		return
-	}
-	writeJSON(w, http.StatusOK, healthBody{Status: "ready"})
+	writeReady(w, c.ready())
 }
 
 func (c *CallerAPI) postKeys(w http.ResponseWriter, r *http.Request) {
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -125,6 +125,7 @@
 func capacityOut(c hibiscuscoordination.Capacity) *hibiscuswire.Capacity {
 	return hibiscuswire.Capacity_builder{
 		Service: c.Service(), Slots: int32(c.Slots()), Leaving: c.Leaving(), Lease: c.Lease(),
+		Drained: c.Drained(),
 	}.Build()
 }
 
@@ -270,7 +271,8 @@
 }
 
 func (in *frameReader) capacity(c *hibiscuswire.Capacity) hibiscuscoordination.Capacity {
-	return hibiscuscoordination.NewCapacity(c.GetService(), in.count("slots", c.GetSlots()), c.GetLeaving(), c.GetLease())
+	return hibiscuscoordination.NewCapacity(c.GetService(), in.count("slots", c.GetSlots()), c.GetLeaving(), c.GetLease()).
+		WithDrained(c.GetDrained())
 }
 
 func (in *frameReader) orders(orders []*hibiscuswire.Order) []hibiscusstate.Order {
--- /dev/null
+++ b/hibiscusprotocol/metrics.go
@@ -0,0 +1,196 @@
+package hibiscusprotocol
+
+import (
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/metrics"
+
+	"github.com/go-chi/chi/v5"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusstate"
+)
+
+// Metrics are expvar variables in a map of the process's own. The global registry of expvar panics on a name that is
+// published twice, which several processes in one test would do. Each request takes one snapshot from the duty, so that
+// the variables of an answer are of one moment. docs/operations.md lists the names; a test holds the list to this file.
+
+// memoryMetric is the memory that the Go runtime holds, in bytes.
+const memoryMetric = "/memory/classes/total:bytes"
+
+// Metrics serves the variables of one process.
+type Metrics struct {
+	collect func(vars *expvar.Map) error
+}
+
+// NewEntryMetrics returns the variables of an entry: sessions and table return the totals of its sessions and of its table
+// client.
+func NewEntryMetrics(
+	duty *hibiscuscoordination.Entry, sessions func() hibiscuscoordination.SessionCounters,
+	table func() hibiscuscoordination.TableCounters,
+) *Metrics {
+	return &Metrics{collect: func(vars *expvar.Map) error {
+		snapshot, err := duty.Snapshot()
+		if err != nil {
+			return err
+		}
+		services, err := duty.Services()
+		if err != nil {
+			return err
+		}
+		collectEntry(vars, snapshot, services)
+		collectSessions(vars, sessions())
+		collectTable(vars, table())
+		return nil
+	}}
+}
+
+// NewAgentMetrics returns the variables of an agent; sessions returns the totals of its sessions.
+func NewAgentMetrics(duty *hibiscuscoordination.Agent, sessions func() hibiscuscoordination.SessionCounters) *Metrics {
+	return &Metrics{collect: func(vars *expvar.Map) error {
+		snapshot, err := duty.Snapshot()
+		if err != nil {
+			return err
+		}
+		collectAgent(vars, snapshot)
+		collectSessions(vars, sessions())
+		return nil
+	}}
+}
+
+// MountEntry adds GET /debug/vars for viewers to the router of an entry.
+func (m *Metrics) MountEntry(r chi.Router, auth *AdminAuth) {
+	r.With(auth.RequireViewer).Get("/debug/vars", m.ServeHTTP)
+}
+
+// MountAgent adds GET /debug/vars to the router of an agent: open on the VM itself, for viewers from elsewhere; and
+// GET /readyz with what ready says.
+func (m *Metrics) MountAgent(r chi.Router, auth *AdminAuth, ready func() bool) {
+	guarded := auth.RequireViewer(m)
+	r.Get("/debug/vars", func(w http.ResponseWriter, r *http.Request) {
+		if fromLoopback(r) {
+			m.ServeHTTP(w, r)
+			return
+		}
+		guarded.ServeHTTP(w, r)
+	})
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { writeReady(w, ready()) })
+}
+
+func writeReady(w http.ResponseWriter, ready bool) {
+	if !ready {
+		writeJSON(w, http.StatusServiceUnavailable, healthBody{Status: "not_ready"})
+		return
+	}
+	writeJSON(w, http.StatusOK, healthBody{Status: "ready"})
+}
+
+func fromLoopback(r *http.Request) bool {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	vars := new(expvar.Map).Init()
+	if err := m.collect(vars); err != nil {
+		writeAdminFailure(w, err)
+		return
+	}
+	setUint(vars, "goroutines", uint64(runtime.NumGoroutine()))
+	sample := []metrics.Sample{{Name: memoryMetric}}
+	metrics.Read(sample)
+	setUint(vars, "memory_bytes", sample[0].Value.Uint64())
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprintln(w, vars.String())
+}
+
+func collectEntry(vars *expvar.Map, s *hibiscuscoordination.EntrySnapshot, services []hibiscuscoordination.ServiceSnapshot) {
+	c := s.Counters()
+	setUint(vars, "configuration_version", s.Version())
+	setUint(vars, "jobs_admitted", c.Jobs())
+	setUint(vars, "jobs_running", uint64(s.Running()))
+	setUint(vars, "job_records", uint64(s.Records()))
+	setUint(vars, "job_bytes", uint64(s.Bytes()))
+	setUint(vars, "tasks_admitted", c.Tasks())
+	setUint(vars, "tasks_sent", c.Sent())
+	setUint(vars, "task_moves", c.Moves())
+	setUint(vars, "worker_messages", c.Messages())
+	setUint(vars, "forwards_open", uint64(s.Forwards()))
+	setUint(vars, "recoveries_open", uint64(s.Recoveries()))
+	setCounts(vars, "jobs_ended", hibiscusstate.JobComplete, hibiscusstate.JobCancelled, c.JobState)
+	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStopped, c.Outcome)
+	setCounts(vars, "refusals", hibiscusstate.RefusalBadRequest, hibiscusstate.RefusalOutcomeUnknown, c.Refusal)
+	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, c.Rejection)
+	setRing(vars, "duty_ring", s.Ring())
+	byService := new(expvar.Map).Init()
+	vars.Set("services", byService)
+	for _, b := range serviceBodies(services) {
+		byService.Set(b.Service, expvar.Func(func() any { return b }))
+	}
+}
+
+func collectAgent(vars *expvar.Map, s *hibiscuscoordination.AgentSnapshot) {
+	setUint(vars, "configuration_version", s.Version())
+	setUint(vars, "slots", uint64(s.Slots()))
+	setUint(vars, "tasks_running", uint64(s.Running()))
+	setUint(vars, "tasks_waiting", uint64(s.Waiting()))
+	setUint(vars, "tasks_started", s.Started())
+	setUint(vars, "duplicate_orders", s.Duplicates())
+	setUint(vars, "leases_raised", s.LeasesRaised())
+	setUint(vars, "entry_messages", s.Messages())
+	setUint(vars, "task_records", uint64(s.Records()))
+	setUint(vars, "task_bytes", uint64(s.Bytes()))
+	vars.Set("leaving", expvar.Func(func() any { return s.Leaving() }))
+	vars.Set("drained", expvar.Func(func() any { return s.Drained() }))
+	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStopped, s.Outcome)
+	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, s.Rejection)
+	setRing(vars, "duty_ring", s.Ring())
+}
+
+func collectSessions(vars *expvar.Map, c hibiscuscoordination.SessionCounters) {
+	setUint(vars, "sessions_open", uint64(c.Open()))
+	setUint(vars, "sessions_opened", c.Opened())
+	setUint(vars, "sessions_silent", c.Silent())
+	setUint(vars, "sessions_refused", c.Refused())
+	setUint(vars, "session_reconnects", c.Reconnects())
+	setRing(vars, "session_rings", c.Rings())
+}
+
+func collectTable(vars *expvar.Map, c hibiscuscoordination.TableCounters) {
+	setUint(vars, "table_reads", c.Reads())
+	setUint(vars, "table_writes", c.Writes())
+	setUint(vars, "table_errors", c.Errors())
+}
+
+func setUint(vars *expvar.Map, name string, v uint64) {
+	vars.Set(name, expvar.Func(func() any { return v }))
+}
+
+// setCounts sets a map with one count for each value of an enum from first to last; zeros are there too, so that a reader
+// sees every name before the first event.
+func setCounts[T interface {
+	~int
+	fmt.Stringer
+}](vars *expvar.Map, name string, first, last T, count func(T) uint64) {
+	counts := new(expvar.Map).Init()
+	for v := first; v <= last; v++ {
+		setUint(counts, v.String(), count(v))
+	}
+	vars.Set(name, counts)
+}
+
+func setRing(vars *expvar.Map, name string, r hibiscuscoordination.RingSnapshot) {
+	ring := new(expvar.Map).Init()
+	setUint(ring, "depth", uint64(r.Depth()))
+	setUint(ring, "max_depth", uint64(r.MaxDepth()))
+	setUint(ring, "dropped", r.Dropped())
+	vars.Set(name, ring)
+}
--- a/hibiscusprotocol/settings.go
+++ b/hibiscusprotocol/settings.go
@@ -83,7 +83,9 @@
 	if err != nil {
 		return AgentSettings{}, err
 	}
-	return AgentSettings{file: file}, checkAddress(name, "endpoint_address", file.EndpointAddress)
+	err = errors.CombineErrors(checkAddress(name, "endpoint_address", file.EndpointAddress),
+		checkToken(name, "viewer_token", file.ViewerToken))
+	return AgentSettings{file: file}, err
 }
 
 func parseSettings(name string, text []byte) (settingsFile, error) {
@@ -156,6 +158,9 @@
 // EndpointAddress returns where the endpoint announces itself to the agent.
 func (s AgentSettings) EndpointAddress() string { return s.file.EndpointAddress }
 
+// ViewerToken returns the token that may read the agent's metrics from another VM, empty for none.
+func (s AgentSettings) ViewerToken() string { return s.file.ViewerToken }
+
 // PlatformAddress returns where the platform's table service is, empty for none.
 func (s AgentSettings) PlatformAddress() string { return s.file.PlatformAddress }
 
--- a/hibiscusstate/enum.go
+++ b/hibiscusstate/enum.go
@@ -95,4 +95,6 @@
 	EventWorkerLeaving                          // worker_leaving
 	EventDrainStarted                           // drain_started
 	EventProcessStopped                         // process_stopped
+	EventWorkerDrained                          // worker_drained
+	EventWorkerReturned                         // worker_returned
 )
--- a/hibiscusstate/enum_string.go
+++ b/hibiscusstate/enum_string.go
@@ -146,11 +146,13 @@
 	_ = x[EventWorkerLeaving-3]
 	_ = x[EventDrainStarted-4]
 	_ = x[EventProcessStopped-5]
+	_ = x[EventWorkerDrained-6]
+	_ = x[EventWorkerReturned-7]
 }
 
-const _EventKind_name = "configuration_acceptedworker_outworker_backworker_leavingdrain_startedprocess_stopped"
+const _EventKind_name = "configuration_acceptedworker_outworker_backworker_leavingdrain_startedprocess_stoppedworker_drainedworker_returned"
 
-var _EventKind_index = [...]uint8{0, 22, 32, 43, 57, 70, 85}
+var _EventKind_index = [...]uint8{0, 22, 32, 43, 57, 70, 85, 99, 114}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/hibiscustransport/connector.go
+++ b/hibiscustransport/connector.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscuscoordination"
 )
 
 // The Connector keeps one session to each address that its process wants, and takes the sessions that others open.
@@ -24,6 +26,7 @@
 	network  Network
 	secret   []byte
 	handlers SessionHandlers
+	stats    *sessionStats
 	log      *slog.Logger
 	mu       sync.Mutex
 	dialing  map[string]context.CancelFunc
@@ -34,11 +37,14 @@
 // NewConnector returns a connector; all processes of a deployment share the secret.
 func NewConnector(network Network, secret []byte, handlers SessionHandlers, log *slog.Logger) *Connector {
 	return &Connector{
-		network: network, secret: secret, handlers: handlers, log: log,
+		network: network, secret: secret, handlers: handlers, stats: newSessionStats(), log: log,
 		dialing: map[string]context.CancelFunc{}, conns: map[net.Conn]struct{}{},
 	}
 }
 
+// Counters returns the totals of the sessions.
+func (c *Connector) Counters() hibiscuscoordination.SessionCounters { return c.stats.counters() }
+
 // Accept takes sessions from a listener until ctx is done.
 func (c *Connector) Accept(ctx context.Context, l net.Listener) {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
@@ -94,8 +100,11 @@
 // keepSession is the duty of one wanted address: it opens a session again whenever the last one ended.
 func (c *Connector) keepSession(ctx context.Context, address string) {
 	backoff := firstBackoff
-	for ctx.Err() == nil {
+	for tries := 0; ctx.Err() == nil; tries++ {
 		began := time.Now()
+		if tries > 0 {
+			c.stats.reconnects.Add(1)
+		}
 		err := c.dial(ctx, address)
 		if time.Since(began) > maxBackoff {
 			backoff = firstBackoff
@@ -128,7 +137,8 @@
 	}()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	err := RunSession(conn, c.secret, dialer, c.handlers, c.log)
+	err := RunSession(conn, c.secret, dialer, c.handlers, c.stats, c.log)
+	c.stats.countEnd(err)
 	if errors.Is(err, ErrHandshake) {
 		c.log.Warn("session: peer was refused", "address", conn.RemoteAddr().String(), "cause", err.Error())
 	}
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -87,12 +87,14 @@
 }
 
 // RunSession speaks over a connection until it ends and returns why; dialer says which end this is.
-func RunSession(conn net.Conn, secret []byte, dialer bool, handlers SessionHandlers, log *slog.Logger) error {
+func RunSession(conn net.Conn, secret []byte, dialer bool, handlers SessionHandlers, stats *sessionStats, log *slog.Logger) error {
 	s := &Session{handlers: handlers, log: log, closed: make(chan struct{})}
 	if err := s.open(conn, secret, dialer); err != nil {
 		conn.Close()
 		return err
 	}
+	stats.add(s)
+	defer stats.remove(s)
 	var duties sync.WaitGroup
 	duties.Go(func() { s.write(s.control) })
 	duties.Go(func() { s.write(s.tasks) })
