Show operators an entry's state and drain it from the command line

Cause: the administration API had no commands, the metrics had no list that an operator can trust, and there was no page on what to do when something fails. Ruled out: copying every worker for status (it holds up the dispatch duty; only those in trouble are copied now), a register of expvar names (a second process in one program panics), and lists in the page that nobody checks. Before / after: go test ./hibiscuscommand ./hibiscusprotocol. With a row taken out of docs/operations.md, these fail: TestMetricsList, TestRefusalsAreDocumented, TestSettingsAreDocumented, TestWarningsAreDocumented. Conclusion: docs/operations.md is held to the code by tests.

--- /dev/null
+++ b/hibiscuscommand/admin_test.go
@@ -0,0 +1,221 @@
+package hibiscuscommand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol"
+	"hibiscusrouter/hibiscusstate"
+)
+
+const (
+	viewerToken   = "viewer token for tests"
+	operatorToken = "operator token for tests"
+	adminText     = `services: [{name: sighting, kinds: [{name: list_sync, run_ms: 300, deadline_ms: 5000}]}]
+teams: [{name: nokkhao, share: 60, max_queued: 20000}, {name: a-team-with-a-name-of-some-length, share: 5, max_queued: 10}]
+`
+)
+
+// adminScene is an entry behind its real handlers, with workers whose messages the test answers.
+type adminScene struct {
+	duty   *hibiscuscoordination.Entry
+	server *httptest.Server
+	orders chan []hibiscusstate.Order
+	peers  []*hibiscuscoordination.Peer
+	drains []string
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// newAdminScene returns an entry with four workers: the first has failed five tasks in a row, the last is leaving.
+func newAdminScene() *adminScene {
+	s := &adminScene{orders: make(chan []hibiscusstate.Order, 8)}
+	s.duty = hibiscuscoordination.NewEntry(hibiscuscoordination.NewIdentity(1, "10.0.1.1:7200", "a"),
+		func(hibiscuscoordination.Event) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go s.duty.Run()
+	document, err := hibiscusprotocol.ParseText("test", []byte(adminText))
+	must(err)
+	must(s.duty.Configure(hibiscusstate.NewConfiguration(7, adminText, document)))
+	s.connect(1, false)
+	answers := make(chan *hibiscuscoordination.Answer, 3)
+	reply := func(a *hibiscuscoordination.Answer) { answers <- a }
+	must(s.duty.Submit(s.job("list_sync", 5), reply))
+	failing := <-s.orders
+	s.connect(2, false)
+	s.connect(3, false)
+	s.connect(4, true)
+	s.report(0, failing, hibiscusstate.OutcomeFailed)
+	<-answers
+	must(s.duty.Submit(s.job("list_sync", 1), reply))
+	done := <-s.orders
+	s.report(1, done, hibiscusstate.OutcomeFinished)
+	s.report(2, done, hibiscusstate.OutcomeFinished)
+	<-answers
+	must(s.duty.Submit(s.job("egg_count", 1), reply))
+	<-answers
+	r := chi.NewRouter()
+	hibiscusprotocol.NewAdminAPI(hibiscusprotocol.NewAdminAuth(viewerToken, operatorToken), s.duty, s.duty.Ready,
+		func(who, from string) { s.drains = append(s.drains, who+" from "+from) }).Mount(r)
+	s.server = httptest.NewServer(r)
+	return s
+}
+
+func (s *adminScene) job(kind string, tasks int) *hibiscuscoordination.Submission {
+	keys, err := s.duty.IssueKeys(1)
+	must(err)
+	specs := make([]hibiscusstate.TaskSpec, tasks)
+	for i := range specs {
+		specs[i] = hibiscusstate.NewTaskSpec(kind, nil, 0)
+	}
+	return hibiscuscoordination.NewSubmission(keys[0], 0, "nokkhao", "sighting", specs).WithWait(time.Minute)
+}
+
+// connect adds a worker whose agent confirms drains at once.
+func (s *adminScene) connect(n int, leaving bool) {
+	capacity := hibiscuscoordination.NewCapacity("sighting", 8, leaving, 1)
+	hello := hibiscuscoordination.NewHello(hibiscuscoordination.RoleAgent, hibiscusstate.Incarnation(n+1),
+		fmt.Sprintf("10.0.2.%d:7300", n), "a", 7, capacity)
+	var p *hibiscuscoordination.Peer
+	p = hibiscuscoordination.NewPeer(hello, func(m hibiscuscoordination.Message) bool {
+		switch m.Kind() {
+		case hibiscuscoordination.MessageOrders:
+			s.orders <- m.Orders()
+		case hibiscuscoordination.MessageCapacity:
+			go func() {
+				must(s.duty.PeerMessage(p, hibiscuscoordination.NewCapacityMessage(capacity.WithDrained(m.Capacity().Drained()))))
+			}()
+		default:
+		}
+		return true
+	}, func() {})
+	s.peers = append(s.peers, p)
+	must(s.duty.PeerUp(p))
+}
+
+func (s *adminScene) report(peer int, orders []hibiscusstate.Order, outcome hibiscusstate.Outcome) {
+	var reports []hibiscusstate.Report
+	for _, o := range orders {
+		reports = append(reports, hibiscusstate.NewResult(o.Try(), outcome, nil, "", time.Millisecond).WithLoad(0, 0, 1))
+	}
+	must(s.duty.PeerMessage(s.peers[peer], hibiscuscoordination.NewReportsMessage(reports)))
+}
+
+var trialPattern = regexp.MustCompile(`trial in \d+ s`)
+
+// run executes one command line against the entry and returns its output and exit code.
+func (s *adminScene) run(token, args string) string {
+	var out, errOut bytes.Buffer
+	address := strings.TrimPrefix(s.server.URL, "http://")
+	line := append(strings.Fields(args), "--entry", address, "--token", token)
+	code := RunContext(context.Background(), line, &out, &errOut)
+	text := fmt.Sprintf("$ %s\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
+	return trialPattern.ReplaceAllString(strings.ReplaceAll(text, address, "ENTRY"), "trial in N s")
+}
+
+// TestOperatorCommands guards against output that hides a worker in trouble or a refusal, that is wider than 80 columns,
+// and against an exit code that tells a script the wrong thing.
+func TestOperatorCommands(t *testing.T) {
+	s := newAdminScene()
+	defer s.duty.Stop()
+	var b strings.Builder
+	for _, line := range []struct{ token, args string }{
+		{viewerToken, "status"},
+		{viewerToken, "endpoints"},
+		{viewerToken, "endpoints --limit 2 --sort failed"},
+		{viewerToken, "endpoints --limit 2"},
+		{viewerToken, "endpoints --limit 2 --after 10.0.2.2:7300"},
+		{viewerToken, "teams"},
+		{viewerToken, "teams --output json"},
+		{viewerToken, "drain endpoint 10.0.2.2:7300"},
+		{operatorToken, "drain endpoint 10.0.9.9:7300"},
+		{operatorToken, "drain endpoint 10.0.2.2:7300"},
+		{viewerToken, "endpoints --sort health --limit 3"},
+		{operatorToken, "drain endpoint 10.0.2.2:7300 --undo"},
+		{viewerToken, "endpoints --sort colour"},
+		{"", "status"},
+		{viewerToken, "drain entry"},
+		{operatorToken, "drain entry --operator ama"},
+	} {
+		b.WriteString(s.run(line.token, line.args))
+	}
+	s.server.Close()
+	Convey("An entry that is gone has its own exit code, and lines fit the screen", t, func() {
+		So(s.run(viewerToken, "status"), ShouldEndWith, "-> exit code 3\n\n")
+		So(s.drains, ShouldResemble, []string{"operator ama from 127.0.0.1"})
+		for line := range strings.Lines(b.String()) {
+			if !strings.HasPrefix(line, "{") && !strings.HasPrefix(line, "hibiscusrouter: ") {
+				So(utf8.RuneCountInString(strings.TrimSpace(line)), ShouldBeLessThanOrEqualTo, screenColumns)
+			}
+		}
+	})
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "operator_commands", []byte(b.String()))
+}
+
+// TestHelp guards against a level of the command line whose help is missing, is wider than 80 columns, or does not say
+// what the command needs.
+func TestHelp(t *testing.T) {
+	var b strings.Builder
+	for _, args := range []string{"", "status", "endpoints", "teams", "drain", "drain endpoint", "drain entry"} {
+		var out, errOut bytes.Buffer
+		code := RunContext(context.Background(), append(strings.Fields(args), "--help"), &out, &errOut)
+		if args != "" {
+			fmt.Fprintf(&b, "$ hibiscusrouter %s --help\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
+		}
+		Convey("Help of "+args+" fits the screen", t, func() {
+			So(code, ShouldEqual, exitOK)
+			So(errOut.String(), ShouldBeEmpty)
+			for line := range strings.Lines(out.String()) {
+				So(utf8.RuneCountInString(strings.TrimRight(line, "\n")), ShouldBeLessThanOrEqualTo, screenColumns)
+			}
+		})
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "operator_help", []byte(b.String()))
+}
+
+// TestWatch guards against --watch that stops after one answer or goes on after an interrupt.
+func TestWatch(t *testing.T) {
+	s := newAdminScene()
+	defer s.duty.Stop()
+	defer s.server.Close()
+	Convey("status --watch repeats until it is interrupted", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		out := &lineCounter{each: func(n int) {
+			if n == 2 {
+				stop()
+			}
+		}}
+		args := []string{"status", "--watch", "--output", "json", "--entry", strings.TrimPrefix(s.server.URL, "http://"), "--token", viewerToken}
+		So(RunContext(ctx, args, out, io.Discard), ShouldEqual, exitOK)
+		So(out.n, ShouldEqual, 2)
+	})
+}
+
+// lineCounter tells how many lines were written.
+type lineCounter struct {
+	n    int
+	each func(n int)
+}
+
+func (c *lineCounter) Write(b []byte) (int, error) {
+	c.n += bytes.Count(b, []byte("\n"))
+	c.each(c.n)
+	return len(b), nil
+}
--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -98,10 +98,13 @@
 		{"platform", "run the stand-in for the platform's table service and object store", platformHelp, &platformCommand{env: env}},
 		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
+		{"status", "show services, queues, refusals and endpoints that are out", statusHelp, &statusCommand{env: env}},
+		{"endpoints", "list the endpoints that an entry sees", endpointsHelp, &endpointsCommand{env: env}},
+		{"teams", "list the teams and what they have in the system", teamsHelp, &teamsCommand{env: env}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
 		}
 	}
-	return nil
+	return addDrainCommands(parser, env)
 }
--- /dev/null
+++ b/hibiscuscommand/status.go
@@ -0,0 +1,167 @@
+package hibiscuscommand
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const statusHelp = "Shows what one or several entries see: services with their workers, tasks in time and late, queues and " +
+	"refusals, the endpoints that get no work and why, and the configuration in force. Counts start with the entry's " +
+	"process. Needs the viewer's token. Exit code 1 when an entry refuses, 3 when one can't be reached."
+
+// watchInterval is how often --watch asks again.
+const watchInterval = time.Second
+
+// clearScreen moves the cursor home and clears the terminal.
+const clearScreen = "\x1b[H\x1b[2J"
+
+type statusCommand struct {
+	env *environment
+	outputFlags
+	Entries []string `long:"entry" default:"127.0.0.1:7100" value-name:"HOST:PORT" description:"caller_address of an entry; may be repeated"`
+	Token   string   `long:"token" env:"HIBISCUSROUTER_TOKEN" default-mask:"-" description:"viewer_token or operator_token of the entries"`
+	Watch   bool     `long:"watch" description:"repeat every second until interrupted"`
+}
+
+type statusView struct {
+	Entry struct {
+		Address       string `json:"address"`
+		FailureDomain string `json:"failure_domain"`
+		Ready         bool   `json:"ready"`
+		Draining      bool   `json:"draining"`
+	} `json:"entry"`
+	ConfigurationVersion uint64 `json:"configuration_version"`
+	Jobs                 struct {
+		Running int `json:"running"`
+		Records int `json:"records"`
+		Bytes   int `json:"bytes"`
+	} `json:"jobs"`
+	Services []struct {
+		Service        string            `json:"service"`
+		Workers        int               `json:"workers"`
+		UsableWorkers  int               `json:"usable_workers"`
+		Slots          int               `json:"slots"`
+		InFlight       int               `json:"in_flight"`
+		Waiting        int               `json:"waiting"`
+		OldestWaitMS   int64             `json:"oldest_wait_ms"`
+		TasksInTime    uint64            `json:"tasks_in_time"`
+		TasksLate      uint64            `json:"tasks_late"`
+		TasksFailed    uint64            `json:"tasks_failed"`
+		TasksCancelled uint64            `json:"tasks_cancelled"`
+		Refusals       map[string]uint64 `json:"refusals"`
+	} `json:"services"`
+	Endpoints struct {
+		Known  int `json:"known"`
+		Usable int `json:"usable"`
+	} `json:"endpoints"`
+	Problems []endpointView `json:"problems"`
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	for {
+		if c.Watch && c.Output == "text" {
+			c.env.printf("%s", clearScreen)
+		}
+		if err := c.show(); err != nil {
+			return err
+		}
+		if !c.Watch {
+			return nil
+		}
+		select {
+		case <-c.env.ctx.Done():
+			return nil
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+func (c *statusCommand) show() error {
+	for i, entry := range c.Entries {
+		raw, err := adminGet(c.env, entry, "/v1/admin/status", c.Token)
+		if err != nil {
+			return err
+		}
+		if c.Output == "json" {
+			c.env.printf("%s", raw)
+			continue
+		}
+		var view statusView
+		if err := decodeAnswer(raw, &view); err != nil {
+			return err
+		}
+		if i > 0 {
+			c.env.printf("\n")
+		}
+		c.env.printf("%s", view.text())
+	}
+	return nil
+}
+
+func (v *statusView) text() string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintln(&b, cut(fmt.Sprintf(format, args...))) }
+	line("entry %s, failure domain %s: %s", v.Entry.Address, v.Entry.FailureDomain, v.state())
+	if v.ConfigurationVersion == 0 {
+		line("no configuration in force")
+	} else {
+		line("configuration version %d in force", v.ConfigurationVersion)
+	}
+	line("%d jobs running, %d kept in %.1f MB", v.Jobs.Running, v.Jobs.Records, float64(v.Jobs.Bytes)/1e6)
+	line("")
+	line("%-18s %9s %6s %7s %8s %8s %9s %8s", "SERVICE", "WORKERS", "SLOTS", "RUNNING", "WAITING", "OLDEST", "IN TIME", "LATE")
+	for _, s := range v.Services {
+		line("%-18.18s %9s %6d %7d %8d %8s %9d %8d", s.Service, fmt.Sprintf("%d/%d", s.UsableWorkers, s.Workers), s.Slots,
+			s.InFlight, s.Waiting, age(s.OldestWaitMS), s.TasksInTime, s.TasksLate)
+		if s.TasksFailed+s.TasksCancelled > 0 {
+			line("  tasks of failed jobs %d, of cancelled jobs %d", s.TasksFailed, s.TasksCancelled)
+		}
+		for _, reason := range sortedKeys(s.Refusals) {
+			line("  refused %s: %d", reason, s.Refusals[reason])
+		}
+	}
+	line("")
+	if v.Endpoints.Usable == v.Endpoints.Known && len(v.Problems) == 0 {
+		line("all %d endpoints get work", v.Endpoints.Known)
+		return b.String()
+	}
+	line("%d of %d endpoints get work; out or on trial:", v.Endpoints.Usable, v.Endpoints.Known)
+	for _, e := range v.Problems {
+		line("  %s %s", e.Address, e.Service)
+		line("    %s", e.why())
+	}
+	return b.String()
+}
+
+func (v *statusView) state() string {
+	switch {
+	case v.Entry.Draining:
+		return "draining, refuses new jobs"
+	case v.Entry.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+// age shows milliseconds in the unit that a reader expects.
+func age(ms int64) string {
+	switch {
+	case ms == 0:
+		return "-"
+	case ms < 10_000:
+		return fmt.Sprintf("%d ms", ms)
+	}
+	return fmt.Sprintf("%d s", ms/1000)
+}
+
+func sortedKeys(m map[string]uint64) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -248,7 +248,19 @@
 
 // Workers returns a copy of the view of each worker, in no order, or ErrStopped.
 func (e *Entry) Workers() ([]hibiscusstate.Worker, error) {
-	return ask(e.duty, func(time.Time) []hibiscusstate.Worker { return e.dispatcher.workerSnapshots() })
+	return ask(e.duty, func(time.Time) []hibiscusstate.Worker {
+		return e.dispatcher.workerSnapshots(func(*hibiscusstate.Worker) bool { return true })
+	})
+}
+
+// TroubledWorkers returns a copy of the view of each worker that is lost or not in good health, in no order, or ErrStopped;
+// it holds up the duty for far less time than Workers when most workers are well.
+func (e *Entry) TroubledWorkers() ([]hibiscusstate.Worker, error) {
+	return ask(e.duty, func(time.Time) []hibiscusstate.Worker {
+		return e.dispatcher.workerSnapshots(func(w *hibiscusstate.Worker) bool {
+			return !w.Connected() || w.Health() != hibiscusstate.HealthGood
+		})
+	})
 }
 
 // Queues returns what waits by service and team, in no order, or ErrStopped.
@@ -302,10 +314,18 @@
 	return services
 }
 
-func (d *Dispatcher) workerSnapshots() []hibiscusstate.Worker {
-	workers := make([]hibiscusstate.Worker, 0, len(d.workers))
+func (d *Dispatcher) workerSnapshots(wanted func(*hibiscusstate.Worker) bool) []hibiscusstate.Worker {
+	n := 0
 	for _, a := range d.workers {
-		workers = append(workers, *a.worker)
+		if wanted(a.worker) {
+			n++
+		}
+	}
+	workers := make([]hibiscusstate.Worker, 0, n)
+	for _, a := range d.workers {
+		if wanted(a.worker) {
+			workers = append(workers, *a.worker)
+		}
 	}
 	return workers
 }
--- a/hibiscusprotocol/admin_http.go
+++ b/hibiscusprotocol/admin_http.go
@@ -150,7 +150,7 @@
 func (a *AdminAPI) getStatus(w http.ResponseWriter, _ *http.Request) {
 	snapshot, err := a.duty.Snapshot()
 	services, servicesErr := a.duty.Services()
-	workers, workersErr := a.duty.Workers()
+	workers, workersErr := a.duty.TroubledWorkers()
 	if err := errors.CombineErrors(err, errors.CombineErrors(servicesErr, workersErr)); err != nil {
 		writeAdminFailure(w, err)
 		return
@@ -164,18 +164,13 @@
 		ConfigurationVersion: snapshot.Version(),
 		Jobs:                 adminJobsBody{Running: snapshot.Running(), Records: snapshot.Records(), Bytes: snapshot.Bytes()},
 		Services:             serviceBodies(services),
-		Endpoints:            adminEndpointCounts{Known: len(workers)},
-		Problems:             []adminEndpointBody{},
+		Problems:             endpointBodies(workers, time.Now()),
 	}
-	slices.SortFunc(body.Services, func(x, y adminServiceBody) int { return cmp.Compare(x.Service, y.Service) })
-	for _, e := range endpointBodies(workers, time.Now()) {
-		if e.Connected && (e.Health == hibiscusstate.HealthGood.String() || e.Health == hibiscusstate.HealthOnTrial.String()) {
-			body.Endpoints.Usable++
-		}
-		if !e.Connected || e.Health != hibiscusstate.HealthGood.String() {
-			body.Problems = append(body.Problems, e)
-		}
+	for _, s := range body.Services {
+		body.Endpoints.Known += s.Workers
+		body.Endpoints.Usable += s.UsableWorkers
 	}
+	slices.SortFunc(body.Services, func(x, y adminServiceBody) int { return cmp.Compare(x.Service, y.Service) })
 	slices.SortFunc(body.Problems, func(x, y adminEndpointBody) int { return cmp.Compare(x.Address, y.Address) })
 	body.Problems = body.Problems[:min(len(body.Problems), maxProblems)]
 	writeJSON(w, http.StatusOK, body)
--- /dev/null
+++ b/hibiscusprotocol/operations_test.go
@@ -0,0 +1,147 @@
+package hibiscusprotocol
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/go-chi/chi/v5"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusstate"
+)
+
+// These tests hold docs/operations.md to the code.
+
+// operationsSection returns the text of one section of docs/operations.md.
+func operationsSection(name string) string {
+	text, err := os.ReadFile("../docs/operations.md")
+	So(err, ShouldBeNil)
+	_, section, found := strings.Cut(string(text), "\n## "+name+"\n")
+	So(found, ShouldBeTrue)
+	section, _, _ = strings.Cut(section, "\n## ")
+	return section
+}
+
+var metricRow = regexp.MustCompile("^\\| `([a-z_]+)` \\| (entry|agent|both) \\| ([^|]+) \\| ([^|]+) \\|$")
+
+// documentedMetrics returns the names that docs/operations.md lists for a process.
+func documentedMetrics(process string) []string {
+	var names []string
+	for line := range strings.Lines(operationsSection("Metrics")) {
+		m := metricRow.FindStringSubmatch(strings.TrimSpace(line))
+		if m != nil && (m[2] == process || m[2] == "both") {
+			names = append(names, m[1])
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func servedMetrics(body string) []string {
+	var vars map[string]json.RawMessage
+	So(json.Unmarshal([]byte(body), &vars), ShouldBeNil)
+	names := make([]string, 0, len(vars))
+	for name := range vars {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestMetricsList guards against a metric that operators can't look up and a documented one that does not exist, against
+// two processes in one program whose names clash, and against metrics that anyone on the network can read.
+func TestMetricsList(t *testing.T) {
+	h, duty := newAdminEntry(1)
+	defer duty.Stop()
+	agentDuty := hibiscuscoordination.NewAgent(hibiscuscoordination.NewIdentity(9, "10.0.2.1:7300", "a"), nil,
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go agentDuty.Run()
+	defer agentDuty.Stop()
+	agent := chi.NewRouter()
+	NewAgentMetrics(agentDuty, func() hibiscuscoordination.SessionCounters { return hibiscuscoordination.SessionCounters{} }).
+		MountAgent(agent, NewAdminAuth(adminToken, ""), agentDuty.Ready)
+	Convey("The list in docs/operations.md is the list of an entry", t, func() {
+		_, body := get(h, "/debug/vars", adminToken, "10.0.9.1:1")
+		So(servedMetrics(body), ShouldResemble, documentedMetrics("entry"))
+		So(body, ShouldContainSubstring, `"table_reads": 3`)
+		So(body, ShouldContainSubstring, `"queue_full": 0`)
+	})
+	Convey("and that of an agent", t, func() {
+		_, body := get(agent, "/debug/vars", "", "127.0.0.1:9")
+		So(servedMetrics(body), ShouldResemble, documentedMetrics("agent"))
+	})
+	Convey("Only viewers read an entry's, and from elsewhere an agent's", t, func() {
+		status := func(h http.Handler, token, remote string) int {
+			code, _ := get(h, "/debug/vars", token, remote)
+			return code
+		}
+		So([]int{
+			status(h, "", "127.0.0.1:9"), status(h, adminToken, "10.0.9.1:9"),
+			status(agent, "", "10.0.9.1:9"), status(agent, adminToken, "10.0.9.1:9"), status(agent, "", "[::1]:9"),
+		}, ShouldResemble, []int{401, 200, 401, 200, 200})
+	})
+}
+
+// TestRefusalsAreDocumented guards against a code that a caller gets and the operators' page does not explain.
+func TestRefusalsAreDocumented(t *testing.T) {
+	Convey("docs/operations.md has a row for every refusal and rejection", t, func() {
+		text := operationsSection("Reading a refusal")
+		for r := hibiscusstate.RefusalBadRequest; !strings.HasPrefix(r.String(), "Refusal("); r++ {
+			So(text, ShouldContainSubstring, "\n| `"+r.String()+"` | ")
+		}
+		for r := hibiscusstate.RejectionNoFreeSlot; !strings.HasPrefix(r.String(), "Rejection("); r++ {
+			So(text, ShouldContainSubstring, "\n| `"+r.String()+"` | ")
+		}
+	})
+}
+
+// TestSettingsAreDocumented guards against a setting that an operator can't look up, and against a documented one that a
+// process refuses.
+func TestSettingsAreDocumented(t *testing.T) {
+	Convey("docs/operations.md has a row for every setting, and no other", t, func() {
+		var documented, known []string
+		for _, m := range settingRow.FindAllStringSubmatch(operationsSection("Processes and settings"), -1) {
+			documented = append(documented, m[1])
+		}
+		for field := range reflect.TypeFor[settingsFile]().Fields() {
+			known = append(known, field.Tag.Get("yaml"))
+		}
+		slices.Sort(documented)
+		slices.Sort(known)
+		So(documented, ShouldResemble, known)
+	})
+}
+
+var (
+	settingRow = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| (?:entry|agent|both) \\| (?:required|none|[0-9]+) \\|")
+	logCall    = regexp.MustCompile(`(?i)\blog(?:ger\(\))?\.(?:Warn|Error)\("([^"]+)"`)
+)
+
+// TestWarningsAreDocumented guards against a log line that asks for a person and does not say what to do.
+func TestWarningsAreDocumented(t *testing.T) {
+	Convey("docs/operations.md has a row for every warning and error that a process logs", t, func() {
+		text := operationsSection("Log lines that ask for a person")
+		files, err := filepath.Glob("../hibiscus*/*.go")
+		So(err, ShouldBeNil)
+		n := 0
+		for _, file := range files {
+			source, err := os.ReadFile(file)
+			So(err, ShouldBeNil)
+			for _, m := range logCall.FindAllStringSubmatch(string(source), -1) {
+				So(text, ShouldContainSubstring, "\n| `"+m[1]+"` | ")
+				n++
+			}
+		}
+		So(n, ShouldBeGreaterThan, 3)
+	})
+}
