Revert "Write a yamux header and its body with one system call"

Cause: the connection below yamux read yamux's own frame headers to join two writes, so it depended on the inside of a library, and the users want no further parsers or transports. Ruled out: a buffered writer below yamux, which has no point at which to flush. Conclusion: not worth it.

--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -125,7 +125,7 @@
 	cfg.LogOutput = io.Discard
 	cfg.MaxStreamWindowSize = streamWindow
 	cfg.ConnectionWriteTimeout = idleSilentAfter
-	if err := s.openStreams(newCoalescedConn(conn), cfg, dialer); err != nil {
+	if err := s.openStreams(conn, cfg, dialer); err != nil {
 		return errors.Mark(errors.Wrap(err, "open streams"), ErrSession)
 	}
 	hello, err := s.exchangeHellos()
