--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -99,10 +99,15 @@
 		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
 		{"measure", "measure the dispatch decisions against a baseline", measureHelp, &measureCommand{env: env}},
+		{"job", "print a job file like the users'", jobHelp, &jobCommand{env: env}},
+		{"load", "drive an entry and print its task throughput", loadHelp, &loadCommand{env: env}},
+		{"status", "show services, queues, refusals and endpoints that are out", statusHelp, &statusCommand{env: env}},
+		{"endpoints", "list the endpoints that an entry sees", endpointsHelp, &endpointsCommand{env: env}},
+		{"teams", "list the teams and what they have in the system", teamsHelp, &teamsCommand{env: env}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
 		}
 	}
-	return nil
+	return addDrainCommands(parser, env)
 }
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -88,6 +88,7 @@
 	longs    int
 	failures float64
 	retries  float64
+	totals   serviceTotals
 }
 
 // assignment is a worker with the tasks of this entry that it has.
@@ -181,15 +182,16 @@
 	}
 	used, err := d.window.Used(s.key.Sequence())
 	if refusal := d.refuseKey(s, used, err); refusal != nil {
+		d.countRefusal(s, refusal)
 		reply(refusal)
 		return
 	}
 	if s.fetch || s.cancel {
-		reply(NewRefusal(s.key, hibiscusstate.RefusalUnknownJob, true, "no job was submitted under this key"))
+		reply(NewRefusal(s.key, hibiscusstate.RefusalUnknownJob, true, "no job was submitted under this key; submit it, the key is still good"))
 		return
 	}
 	if refusal := d.admit(s); refusal != nil {
-		d.counters.countRefusal(refusal.refusal)
+		d.countRefusal(s, refusal)
 		reply(refusal)
 		return
 	}
@@ -200,7 +202,7 @@
 func (d *Dispatcher) join(r *jobRecord, s *Submission, reply func(*Answer)) {
 	if !s.fetch && !s.cancel && s.digest != r.job.Digest() {
 		reply(NewRefusal(s.key, hibiscusstate.RefusalKeyReused, true,
-			"this key was used for a submission with another body; the body sent now was not run"))
+			"this key was used for a submission with another body; the body sent now was not run; get a fresh key for it"))
 		return
 	}
 	if s.waitTime == 0 || r.job.State() != hibiscusstate.JobRunning {
@@ -223,7 +225,7 @@
 		return NewRefusal(s.key, hibiscusstate.RefusalKeyExpired, false,
 			"the record of this key is no longer kept; its tasks may have run")
 	default:
-		return NewRefusal(s.key, hibiscusstate.RefusalKeyNotIssued, true, "this key was never issued")
+		return NewRefusal(s.key, hibiscusstate.RefusalKeyNotIssued, true, "this key was never issued; get one from POST /v1/keys")
 	}
 }
 
@@ -278,23 +280,22 @@
 	return k.RunTime()
 }
 
-// Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer.
-func (d *Dispatcher) Cancel(now time.Time, key hibiscusstate.SubmissionKey, reply func(*Answer)) {
-	r := d.jobs[key]
+// Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer, or
+// the state of the job at once when the cancellation does not wait.
+func (d *Dispatcher) Cancel(now time.Time, s *Submission, reply func(*Answer)) {
+	r := d.jobs[s.key]
 	if r == nil {
-		d.Submit(now, NewCancel(key), reply)
+		d.Submit(now, s, reply)
 		return
 	}
-	if r.job.State() != hibiscusstate.JobRunning {
-		reply(d.answer(r.job))
-		return
+	if r.job.State() == hibiscusstate.JobRunning {
+		r.job.Cancel()
+		d.abandonQueued(r, "the job was cancelled before the task was started")
+		d.stopSent(now, r)
+		d.finish(now, r)
+		d.dispatch(now, d.pool(r.job.Service()))
 	}
-	r.waiters = append(r.waiters, reply)
-	r.job.Cancel()
-	d.abandonQueued(r, "the job was cancelled before the task was started")
-	d.stopSent(now, r)
-	d.finish(now, r)
-	d.dispatch(now, d.pool(r.job.Service()))
+	d.join(r, s, reply)
 }
 
 // WorkerUp takes a worker whose agent has opened a session, or whose agent has opened another one after a lost session.
@@ -356,10 +357,14 @@
 	a.pool.slots += c.slots - a.worker.Slots()
 	a.worker.SetSlots(c.slots)
 	switch {
-	case c.leaving && a.worker.Health() != hibiscusstate.HealthLeaving:
+	case c.leaving:
+		if a.worker.Health() != hibiscusstate.HealthLeaving {
+			d.event(NewWorkerEvent(hibiscusstate.EventWorkerLeaving, a.worker, "the endpoint is leaving"))
+		}
 		a.worker.SetHealth(hibiscusstate.HealthLeaving, "the endpoint is leaving")
-		d.event(NewWorkerEvent(hibiscusstate.EventWorkerLeaving, a.worker, "the endpoint is leaving"))
-	case !c.leaving && a.worker.Health() == hibiscusstate.HealthLeaving:
+	case c.drained:
+		a.worker.SetHealth(hibiscusstate.HealthLeaving, "an operator drained the endpoint")
+	case a.worker.Health() == hibiscusstate.HealthLeaving:
 		a.worker.SetHealth(hibiscusstate.HealthGood, "")
 	}
 	a.pool.heap.Update(a.worker)
@@ -530,6 +535,7 @@
 	heap.Remove(&d.deadlines, r.index)
 	d.finished.PushBack(r)
 	d.counters.countJob(r.job)
+	d.pool(r.job.Service()).totals.countJob(r.job)
 	answer := d.answer(r.job)
 	for _, reply := range r.waiters {
 		reply(answer)
