Keep a wrongly declared kind from refusing the jobs of others

Cause: until runs are observed, a task counted with its declared run time. With 12 tasks waiting of a kind declared at 30 s that runs 100 ms, all 20 jobs of another kind were refused too_late (TestWrongRunTime on the earlier code). Ruled out: the learned mean, which needs 8 finished runs and so comes too late for what already waits.

Before / after (go test ./hibiscuscoordination -run TestWrongRunTime): 20 of 20 refused / none; with a bound of 4 times the usual run time 9 were still refused, with 2 none.

Conclusion: an unobserved kind counts as half to twice the usual run time. Also adds tests of a worker that fails everything, of a dependency without an endpoint, and of the rejection that ended an entry.

--- /dev/null
+++ b/hibiscuscoordination/policy_test.go
@@ -0,0 +1,161 @@
+package hibiscuscoordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// policyScene is a Dispatcher whose agents a test answers by hand, and a transcript of what it decides.
+type policyScene struct {
+	t     *testing.T
+	now   time.Time
+	d     *Dispatcher
+	has   map[hibiscusstate.Incarnation][]hibiscusstate.Order
+	lines []string
+}
+
+// newPolicyScene returns an entry with n workers of 8 slots for the service check, which needs the service lookup.
+func newPolicyScene(t *testing.T, n int) *policyScene {
+	s := &policyScene{t: t, now: time.Unix(0, 0).UTC(), has: map[hibiscusstate.Incarnation][]hibiscusstate.Order{}}
+	s.d = NewDispatcher(1, NewDispatcherSeams(
+		func(worker hibiscusstate.Incarnation, m Message) bool {
+			s.has[worker] = append(s.has[worker], m.Orders()...)
+			return true
+		},
+		func(e Event) { s.note("event: %s %s, %s", e.Kind(), e.Subject(), e.Cause()) },
+		func(time.Duration) time.Duration { return 0 },
+	))
+	kinds := []hibiscusstate.Kind{
+		hibiscusstate.NewKind("right", false, true, 100*time.Millisecond, 2*time.Second),
+		hibiscusstate.NewKind("wrong", false, true, 30*time.Second, 5*time.Second),
+	}
+	services := []hibiscusstate.Service{
+		hibiscusstate.NewService("check", []string{"lookup"}, kinds), hibiscusstate.NewService("lookup", nil, nil),
+	}
+	s.d.Configure(s.now, hibiscusstate.NewConfiguration(1, "", hibiscusstate.NewDocument(services,
+		[]hibiscusstate.Team{hibiscusstate.NewTeam("review", 1, 0)})))
+	for i := range n {
+		s.worker(hibiscusstate.Incarnation(100+i), fmt.Sprintf("10.0.2.%d:7300", i+1), "check", 8)
+	}
+	s.worker(200, "10.0.3.1:7300", "lookup", 1)
+	return s
+}
+
+func (s *policyScene) worker(id hibiscusstate.Incarnation, address, service string, slots int) {
+	s.d.WorkerUp(s.now, NewHello(RoleAgent, id, address, "a", 1, NewCapacity(service, slots, false, 1)))
+}
+
+func (s *policyScene) note(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf("%7d ms  ", s.now.Sub(time.Unix(0, 0)).Milliseconds())+fmt.Sprintf(format, args...))
+}
+
+// submit submits n jobs of one task and notes how many were refused at once, and why.
+func (s *policyScene) submit(n int, kind string) {
+	refused := map[hibiscusstate.Refusal]int{}
+	for range n {
+		submission := NewSubmission(s.d.IssueKeys(1)[0], 0, "review", "check",
+			[]hibiscusstate.TaskSpec{hibiscusstate.NewTaskSpec(kind, nil, 0)}).WithWait(time.Hour)
+		s.d.Submit(s.now, submission, func(a *Answer) {
+			if a.Refusal() != hibiscusstate.RefusalNone {
+				refused[a.Refusal()]++
+			}
+		})
+	}
+	s.d.Flush(s.now)
+	s.note("%d %s jobs submitted, refused: %v", n, kind, refused)
+}
+
+// pass lets time pass, in ticks.
+func (s *policyScene) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(tickInterval)
+		s.d.Tick(s.now)
+		s.d.Flush(s.now)
+	}
+}
+
+// finish lets a worker report all that it has.
+func (s *policyScene) finish(worker hibiscusstate.Incarnation, outcome hibiscusstate.Outcome, took time.Duration) int {
+	orders := s.has[worker]
+	s.has[worker] = nil
+	for _, order := range orders {
+		report := hibiscusstate.NewResult(order.Try(), outcome, nil, "", took).WithLoad(0, 0, 1)
+		s.d.Reports(s.now, worker, []hibiscusstate.Report{report})
+	}
+	s.d.Flush(s.now)
+	return len(orders)
+}
+
+func (s *policyScene) golden(name string) {
+	goldie.New(s.t, goldie.WithFixtureDir("testdata")).Assert(s.t, name, []byte(strings.Join(s.lines, "\n")+"\n"))
+}
+
+// TestWrongRunTime guards against a kind whose declared run time is 300 times too long and makes the jobs of another kind
+// look too late.
+func TestWrongRunTime(t *testing.T) {
+	s := newPolicyScene(t, 1)
+	for range 2 {
+		s.submit(8, "right")
+		s.pass(100 * time.Millisecond)
+		s.finish(100, hibiscusstate.OutcomeFinished, 100*time.Millisecond)
+	}
+	s.submit(20, "wrong")
+	s.submit(20, "right")
+	s.golden("policy_wrong_run_time")
+}
+
+// TestFailingWorker guards against a worker that fails every task and keeps getting them, and against one that is never
+// tried again or tried with more than one task.
+func TestFailingWorker(t *testing.T) {
+	s := newPolicyScene(t, 4)
+	work := func(failing bool) {
+		s.submit(24, "right")
+		s.pass(100 * time.Millisecond)
+		for _, worker := range []hibiscusstate.Incarnation{101, 102, 103} {
+			s.finish(worker, hibiscusstate.OutcomeFinished, 100*time.Millisecond)
+		}
+		outcome := hibiscusstate.OutcomeFinished
+		if failing {
+			outcome = hibiscusstate.OutcomeFailed
+		}
+		s.note("worker 1 had %d tasks, they %s", s.finish(100, outcome, time.Millisecond), outcome)
+	}
+	work(true)
+	work(true)
+	s.pass(2 * time.Second)
+	work(true)
+	s.pass(4 * time.Second)
+	work(false)
+	work(false)
+	s.golden("policy_failing_worker")
+}
+
+// TestDependencyDown guards against work that is taken while a service that it needs has no endpoint, and is lost or fails.
+func TestDependencyDown(t *testing.T) {
+	s := newPolicyScene(t, 1)
+	s.submit(1, "right")
+	s.d.Capacity(s.now, 200, NewCapacity("lookup", 0, false, 1))
+	s.submit(1, "right")
+	s.d.Capacity(s.now, 200, NewCapacity("lookup", 1, false, 1))
+	s.submit(1, "right")
+	s.golden("policy_dependency_down")
+}
+
+// TestStopWaiting guards against an entry that ends on the rejection of a waiting task that it asked to stop: the counters
+// had no place for that reason.
+func TestStopWaiting(t *testing.T) {
+	s := newPolicyScene(t, 1)
+	s.submit(1, "right")
+	order := s.has[100][0]
+	s.d.Cancel(s.now, NewCancel(order.ID().Key()).WithWait(time.Hour), func(a *Answer) {
+		s.note("cancelled: %s, task %s", a.State(), a.Tasks()[0].Outcome())
+	})
+	s.d.Reports(s.now, 100, []hibiscusstate.Report{hibiscusstate.NewRejection(order.Try(), hibiscusstate.RejectionStopped)})
+	s.golden("policy_stop_waiting")
+}
--- a/hibiscusstate/runtimes.go
+++ b/hibiscusstate/runtimes.go
@@ -35,6 +35,9 @@
 	defaultRunTime = 250 * time.Millisecond
 	// outlierFactor is how many times the mean a single run may count.
 	outlierFactor = 4
+	// declaredFactor is how far a declared run time may be from the service's usual one before a run was observed. With 4,
+	// twelve waiting tasks of a wrongly declared kind still had 9 of 20 jobs of another kind refused.
+	declaredFactor = 2
 	// longFactor is how many usual run times make a task long.
 	longFactor = 4
 )
@@ -76,17 +79,25 @@
 }
 
 // Expect returns the predicted run time of a task and whether that is long for this service.
+//
+// Until runs were observed, the prediction stays within declaredFactor of the service's usual run time: a kind whose declared
+// run time is ten times too long would otherwise fill the estimated queue and have the jobs of other kinds refused.
 func (r *RunTimes) Expect(kind string, payloadBytes int, declared time.Duration) (expected time.Duration, long bool) {
-	expected = declared
-	if expected <= 0 {
-		expected = defaultRunTime
+	if declared <= 0 {
+		declared = defaultRunTime
 	}
-	e := r.classes[classOf(kind, payloadBytes)]
-	if e != nil {
-		trust := min(float64(e.n)/trustedRuns, 1)
-		expected = time.Duration(trust*e.mean + (1-trust)*float64(expected))
+	bounded := declared
+	if r.usual > 0 {
+		bounded = min(max(declared, r.usual/declaredFactor), declaredFactor*r.usual)
+	}
+	trust, mean := 0.0, 0.0
+	if e := r.classes[classOf(kind, payloadBytes)]; e != nil {
+		trust = min(float64(e.n)/trustedRuns, 1)
+		mean = e.mean
 	}
-	return expected, r.usual > 0 && expected > longFactor*r.usual
+	expected = time.Duration(trust*mean + (1-trust)*float64(bounded))
+	believed := time.Duration(trust*mean + (1-trust)*float64(declared))
+	return expected, r.usual > 0 && believed > longFactor*r.usual
 }
 
 // Usual returns the running median of all observed run times, zero before the first.
