Wait longer at agents that had tasks waiting at the last report

Its own queue is short, so it tried workers that looked full with the short limit, a quarter of the run time, while other entries' tasks were waiting there. Ageing a full view also forgot that tasks had been waiting. Ruled out: the waiting places themselves; no_free_slot is below 70 for every entry.

Conclusion: the limit is twice the usual run time where tasks waited at the last report.

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -594,6 +594,9 @@
 		}
 		if wait == 0 {
 			wait = min(t.Expected()/staleWaitPart, agentWaitLimit)
+			if w.Waiting() > 0 {
+				wait = max(2*p.runTimes.Usual(), agentWaitLimit)
+			}
 		}
 		d.place(now, d.workers[w.ID()], t, wait)
 	}
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -92,7 +92,7 @@
 		// Without this a worker that was full of other entries' tasks would look full for good, because nothing is sent
 		// to it and so no report comes back. One slot is enough to find out; halving the others' tasks on every worker
 		// instead made a fifth of the tasks bounce.
-		w.Report(max(w.Others()+w.Free()-1, 0), 0, now)
+		w.Report(max(w.Others()+w.Free()-1, 0), w.Waiting(), now)
 	}
 	a.pool.heap.Update(w)
 }
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -78,6 +78,9 @@
 // Others returns how many tasks of other entries the worker had at the last report.
 func (w *Worker) Others() int { return w.others }
 
+// Waiting returns how many tasks waited at the agent at the last report.
+func (w *Worker) Waiting() int { return w.waiting }
+
 // Lease returns the epoch under which the agent takes tasks from this entry.
 func (w *Worker) Lease() uint64 { return w.lease }
 
