--- a/hibiscuscommand/admin_test.go
+++ b/hibiscuscommand/admin_test.go
@@ -45,10 +45,12 @@
 	}
 }
 
-// newAdminScene returns an entry with four workers: the first has failed five tasks in a row, the last is leaving.
-func newAdminScene() *adminScene {
-	s := &adminScene{orders: make(chan []hibiscusstate.Order, 8)}
-	s.duty = hibiscuscoordination.NewEntry(hibiscuscoordination.NewIdentity(1, "10.0.1.1:7200", "a"),
+// newAdminScene returns the n-th entry with four workers: the first has failed five tasks in a row, the last is leaving.
+func newAdminScene(n int) *adminScene {
+	r := chi.NewRouter()
+	s := &adminScene{orders: make(chan []hibiscusstate.Order, 8), server: httptest.NewUnstartedServer(r)}
+	identity := hibiscuscoordination.NewIdentity(hibiscusstate.Incarnation(100+n), fmt.Sprintf("10.0.1.%d:7200", n), "a")
+	s.duty = hibiscuscoordination.NewEntry(identity.WithCaller(s.address()),
 		func(hibiscuscoordination.Event) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go s.duty.Run()
 	document, err := hibiscusprotocol.ParseText("test", []byte(adminText))
@@ -71,13 +73,22 @@
 	<-answers
 	must(s.duty.Submit(s.job("egg_count", 1), reply))
 	<-answers
-	r := chi.NewRouter()
 	hibiscusprotocol.NewAdminAPI(hibiscusprotocol.NewAdminAuth(viewerToken, operatorToken), s.duty, s.duty.Ready,
 		func(who, from string) { s.drains = append(s.drains, who+" from "+from) }).Mount(r)
-	s.server = httptest.NewServer(r)
+	s.server.Start()
 	return s
 }
 
+func (s *adminScene) address() string { return s.server.Listener.Addr().String() }
+
+// join lets the entry know another one, as after a session has opened.
+func (s *adminScene) join(n int, caller string) {
+	hello := hibiscuscoordination.NewHello(hibiscuscoordination.RoleEntry, hibiscusstate.Incarnation(100+n),
+		fmt.Sprintf("10.0.1.%d:7200", n), "a", 7, hibiscuscoordination.Capacity{}).WithCaller(caller)
+	send := func(hibiscuscoordination.Message) bool { return true }
+	must(s.duty.PeerUp(hibiscuscoordination.NewPeer(hello, send, func() {})))
+}
+
 func (s *adminScene) job(kind string, tasks int) *hibiscuscoordination.Submission {
 	keys, err := s.duty.IssueKeys(1)
 	must(err)
@@ -123,17 +134,16 @@
 // run executes one command line against the entry and returns its output and exit code.
 func (s *adminScene) run(token, args string) string {
 	var out, errOut bytes.Buffer
-	address := strings.TrimPrefix(s.server.URL, "http://")
-	line := append(strings.Fields(args), "--entry", address, "--token", token)
+	line := append(strings.Fields(args), "--entry", s.address(), "--token", token)
 	code := RunContext(context.Background(), line, &out, &errOut)
 	text := fmt.Sprintf("$ %s\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
-	return trialPattern.ReplaceAllString(strings.ReplaceAll(text, address, "ENTRY"), "trial in N s")
+	return trialPattern.ReplaceAllString(strings.ReplaceAll(text, s.address(), "ENTRY"), "trial in N s")
 }
 
 // TestOperatorCommands guards against output that hides a worker in trouble or a refusal, that is wider than 80 columns,
 // and against an exit code that tells a script the wrong thing.
 func TestOperatorCommands(t *testing.T) {
-	s := newAdminScene()
+	s := newAdminScene(1)
 	defer s.duty.Stop()
 	var b strings.Builder
 	for _, line := range []struct{ token, args string }{
@@ -169,6 +179,23 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "operator_commands", []byte(b.String()))
 }
 
+// TestStatusAll guards against sums that leave an entry out or count shared workers twice, and against an entry that does not
+// answer and is passed over in silence.
+func TestStatusAll(t *testing.T) {
+	first, second := newAdminScene(1), newAdminScene(2)
+	defer first.duty.Stop()
+	defer second.duty.Stop()
+	first.join(2, second.address())
+	whole := first.run(viewerToken, "status --all")
+	second.server.Close()
+	must(first.duty.PeerMessage(first.peers[0], hibiscuscoordination.NewMembersMessage(
+		[]hibiscuscoordination.Member{hibiscuscoordination.NewMember(103, "10.0.1.3:7200", "a", 0)})))
+	broken := first.run(viewerToken, "status --all")
+	first.server.Close()
+	refused := regexp.MustCompile(`Get "http.*`).ReplaceAllString(broken, "...")
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "status_all", []byte(whole+refused))
+}
+
 // TestHelp guards against a level of the command line whose help is missing, is wider than 80 columns, or does not say
 // what the command needs.
 func TestHelp(t *testing.T) {
@@ -192,7 +219,7 @@
 
 // TestWatch guards against --watch that stops after one answer or goes on after an interrupt.
 func TestWatch(t *testing.T) {
-	s := newAdminScene()
+	s := newAdminScene(1)
 	defer s.duty.Stop()
 	defer s.server.Close()
 	Convey("status --watch repeats until it is interrupted", t, func() {
@@ -202,7 +229,7 @@
 				stop()
 			}
 		}}
-		args := []string{"status", "--watch", "--output", "json", "--entry", strings.TrimPrefix(s.server.URL, "http://"), "--token", viewerToken}
+		args := []string{"status", "--watch", "--output", "json", "--entry", s.address(), "--token", viewerToken}
 		So(RunContext(ctx, args, out, io.Discard), ShouldEqual, exitOK)
 		So(out.n, ShouldEqual, 2)
 	})
--- a/hibiscuscommand/status.go
+++ b/hibiscuscommand/status.go
@@ -5,11 +5,14 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const statusHelp = "Shows what one or several entries see: services with their workers, tasks in time and late, queues and " +
 	"refusals, the endpoints that get no work and why, and the configuration in force. Counts start with the entry's " +
-	"process. Needs the viewer's token. Exit code 1 when an entry refuses, 3 when one can't be reached."
+	"process. With --all every entry that the first one is connected to is asked too, and the sums are shown. Needs the " +
+	"viewer's token. Exit code 1 when an entry refuses, 3 when one can't be reached."
 
 // watchInterval is how often --watch asks again.
 const watchInterval = time.Second
@@ -22,6 +25,7 @@
 	outputFlags
 	Entries []string `long:"entry" default:"127.0.0.1:7100" value-name:"HOST:PORT" description:"caller_address of an entry; may be repeated"`
 	Token   string   `long:"token" env:"HIBISCUSROUTER_TOKEN" default-mask:"-" description:"viewer_token or operator_token of the entries"`
+	All     bool     `long:"all" description:"ask all entries and show the sums"`
 	Watch   bool     `long:"watch" description:"repeat every second until interrupted"`
 }
 
@@ -38,20 +42,7 @@
 		Records int `json:"records"`
 		Bytes   int `json:"bytes"`
 	} `json:"jobs"`
-	Services []struct {
-		Service        string            `json:"service"`
-		Workers        int               `json:"workers"`
-		UsableWorkers  int               `json:"usable_workers"`
-		Slots          int               `json:"slots"`
-		InFlight       int               `json:"in_flight"`
-		Waiting        int               `json:"waiting"`
-		OldestWaitMS   int64             `json:"oldest_wait_ms"`
-		TasksInTime    uint64            `json:"tasks_in_time"`
-		TasksLate      uint64            `json:"tasks_late"`
-		TasksFailed    uint64            `json:"tasks_failed"`
-		TasksCancelled uint64            `json:"tasks_cancelled"`
-		Refusals       map[string]uint64 `json:"refusals"`
-	} `json:"services"`
+	Services  []serviceView `json:"services"`
 	Endpoints struct {
 		Known  int `json:"known"`
 		Usable int `json:"usable"`
@@ -59,6 +50,27 @@
 	Problems []endpointView `json:"problems"`
 }
 
+type serviceView struct {
+	Service        string            `json:"service"`
+	Workers        int               `json:"workers"`
+	UsableWorkers  int               `json:"usable_workers"`
+	Slots          int               `json:"slots"`
+	InFlight       int               `json:"in_flight"`
+	Waiting        int               `json:"waiting"`
+	OldestWaitMS   int64             `json:"oldest_wait_ms"`
+	TasksInTime    uint64            `json:"tasks_in_time"`
+	TasksLate      uint64            `json:"tasks_late"`
+	TasksFailed    uint64            `json:"tasks_failed"`
+	TasksCancelled uint64            `json:"tasks_cancelled"`
+	Refusals       map[string]uint64 `json:"refusals"`
+}
+
+type memberView struct {
+	Address       string `json:"address"`
+	CallerAddress string `json:"caller_address"`
+	Connected     bool   `json:"connected"`
+}
+
 // Execute implements flags.Commander.
 func (c *statusCommand) Execute([]string) error {
 	for {
@@ -80,6 +92,9 @@
 }
 
 func (c *statusCommand) show() error {
+	if c.All {
+		return c.showAll()
+	}
 	for i, entry := range c.Entries {
 		raw, err := adminGet(c.env, entry, "/v1/admin/status", c.Token)
 		if err != nil {
@@ -101,6 +116,108 @@
 	return nil
 }
 
+// showAll asks the members of the first entry. An entry that does not answer is shown, and its error decides the exit code.
+func (c *statusCommand) showAll() error {
+	raw, err := adminGet(c.env, c.Entries[0], "/v1/admin/members?limit=1000", c.Token)
+	if err != nil {
+		return err
+	}
+	var members pageView[memberView]
+	if err := decodeAnswer(raw, &members); err != nil {
+		return err
+	}
+	var all []statusView
+	var failed error
+	for _, m := range members.Items {
+		if !m.Connected {
+			c.text("entry %s: no session from %s", m.Address, c.Entries[0])
+			continue
+		}
+		raw, err := adminGet(c.env, m.CallerAddress, "/v1/admin/status", c.Token)
+		if err != nil {
+			c.text("entry %s: %v", m.Address, err)
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		if c.Output == "json" {
+			c.env.printf("%s", raw)
+			continue
+		}
+		var view statusView
+		if err := decodeAnswer(raw, &view); err != nil {
+			return err
+		}
+		c.text("%s", view.line())
+		all = append(all, view)
+	}
+	if len(all) > 0 {
+		sum := sumOf(all)
+		c.env.printf("\n%s", sum.tables())
+	}
+	return failed
+}
+
+// text prints a line unless the answer is to be JSON.
+func (c *statusCommand) text(format string, args ...any) {
+	if c.Output == "text" {
+		c.env.printf("%s\n", cut(fmt.Sprintf(format, args...)))
+	}
+}
+
+// sumOf adds up what belongs to each entry. Workers and slots are shared, so the highest count of an entry stands for them;
+// a worker is in trouble when one entry says so.
+func sumOf(views []statusView) statusView {
+	var sum statusView
+	services := map[string]*serviceView{}
+	problems := map[string]bool{}
+	for _, v := range views {
+		for _, s := range v.Services {
+			t := services[s.Service]
+			if t == nil {
+				t = &serviceView{Service: s.Service, Refusals: map[string]uint64{}}
+				services[s.Service] = t
+			}
+			t.add(&s)
+		}
+		for _, e := range v.Problems {
+			if !problems[e.Address] {
+				problems[e.Address] = true
+				sum.Problems = append(sum.Problems, e)
+			}
+		}
+		sum.Endpoints.Known = max(sum.Endpoints.Known, v.Endpoints.Known)
+		sum.Endpoints.Usable = max(sum.Endpoints.Usable, v.Endpoints.Usable)
+	}
+	for _, s := range services {
+		sum.Services = append(sum.Services, *s)
+	}
+	slices.SortFunc(sum.Services, func(x, y serviceView) int { return strings.Compare(x.Service, y.Service) })
+	slices.SortFunc(sum.Problems, func(x, y endpointView) int { return strings.Compare(x.Address, y.Address) })
+	return sum
+}
+
+func (s *serviceView) add(other *serviceView) {
+	s.Workers = max(s.Workers, other.Workers)
+	s.UsableWorkers = max(s.UsableWorkers, other.UsableWorkers)
+	s.Slots = max(s.Slots, other.Slots)
+	s.OldestWaitMS = max(s.OldestWaitMS, other.OldestWaitMS)
+	s.InFlight += other.InFlight
+	s.Waiting += other.Waiting
+	s.TasksInTime += other.TasksInTime
+	s.TasksLate += other.TasksLate
+	s.TasksFailed += other.TasksFailed
+	s.TasksCancelled += other.TasksCancelled
+	for reason, n := range other.Refusals {
+		s.Refusals[reason] += n
+	}
+}
+
+// line sums an entry up in one line.
+func (v *statusView) line() string {
+	return fmt.Sprintf("entry %s, domain %s: %s, configuration %d, %d jobs running", v.Entry.Address, v.Entry.FailureDomain,
+		v.state(), v.ConfigurationVersion, v.Jobs.Running)
+}
+
 func (v *statusView) text() string {
 	var b strings.Builder
 	line := func(format string, args ...any) { fmt.Fprintln(&b, cut(fmt.Sprintf(format, args...))) }
@@ -112,6 +229,13 @@
 	}
 	line("%d jobs running, %d kept in %.1f MB", v.Jobs.Running, v.Jobs.Records, float64(v.Jobs.Bytes)/1e6)
 	line("")
+	return b.String() + v.tables()
+}
+
+// tables shows the services and the endpoints in trouble.
+func (v *statusView) tables() string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintln(&b, cut(fmt.Sprintf(format, args...))) }
 	line("%-18s %9s %6s %7s %8s %8s %9s %8s", "SERVICE", "WORKERS", "SLOTS", "RUNNING", "WAITING", "OLDEST", "IN TIME", "LATE")
 	for _, s := range v.Services {
 		line("%-18.18s %9s %6d %7d %8d %8s %9d %8d", s.Service, fmt.Sprintf("%d/%d", s.UsableWorkers, s.Workers), s.Slots,
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -33,6 +33,7 @@
 	incarnation hibiscusstate.Incarnation
 	address     string
 	domain      string
+	caller      string
 }
 
 // NewIdentity returns the identity of one run of a process: its incarnation, where it listens, and its failure domain.
@@ -40,6 +41,12 @@
 	return Identity{incarnation: incarnation, address: address, domain: domain}
 }
 
+// WithCaller sets where callers and operators reach the process over HTTP.
+func (i Identity) WithCaller(address string) Identity {
+	i.caller = address
+	return i
+}
+
 // Incarnation returns the random number that names this run of the process.
 func (i Identity) Incarnation() hibiscusstate.Incarnation { return i.incarnation }
 
@@ -128,7 +135,8 @@
 // Hello returns the introduction of this entry.
 func (e *Entry) Hello() Hello {
 	version, _ := ask(e.duty, func(time.Time) uint64 { return e.version() })
-	return NewHello(RoleEntry, e.identity.incarnation, e.identity.address, e.identity.domain, version, Capacity{})
+	return NewHello(RoleEntry, e.identity.incarnation, e.identity.address, e.identity.domain, version, Capacity{}).
+		WithCaller(e.identity.caller)
 }
 
 // PeerUp takes a session that has opened, in the order of its messages.
@@ -286,9 +294,10 @@
 }
 
 func (e *Entry) memberList() []Member {
-	members := []Member{NewMember(e.identity.incarnation, e.identity.address, e.identity.domain, 0)}
+	members := []Member{NewMember(e.identity.incarnation, e.identity.address, e.identity.domain, 0).WithCaller(e.identity.caller)}
 	for _, p := range e.peers {
-		members = append(members, NewMember(p.Hello().Incarnation(), p.Hello().Address(), p.Hello().Domain(), 0))
+		hello := p.Hello()
+		members = append(members, NewMember(hello.Incarnation(), hello.Address(), hello.Domain(), 0).WithCaller(hello.Caller()))
 	}
 	return members
 }
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -46,6 +46,7 @@
 	domain      string
 	version     uint64
 	capacity    Capacity
+	caller      string
 }
 
 // NewHello returns an introduction; version is that of the configuration in force, zero for none.
@@ -53,6 +54,15 @@
 	return Hello{role: role, incarnation: incarnation, address: address, domain: domain, version: version, capacity: capacity}
 }
 
+// WithCaller sets where callers and operators reach the process over HTTP.
+func (h Hello) WithCaller(address string) Hello {
+	h.caller = address
+	return h
+}
+
+// Caller returns where callers and operators reach the process over HTTP, empty for an agent.
+func (h Hello) Caller() string { return h.caller }
+
 // Role returns the role of the process.
 func (h Hello) Role() Role { return h.role }
 
@@ -112,6 +122,7 @@
 	address     string
 	domain      string
 	heartbeat   uint64
+	caller      string
 }
 
 // NewMember returns a member; heartbeat is the counter of its row in the table.
@@ -119,6 +130,15 @@
 	return Member{incarnation: incarnation, address: address, domain: domain, heartbeat: heartbeat}
 }
 
+// WithCaller sets where callers and operators reach the entry over HTTP.
+func (m Member) WithCaller(address string) Member {
+	m.caller = address
+	return m
+}
+
+// Caller returns where callers and operators reach the entry over HTTP; it is known of connected entries only.
+func (m Member) Caller() string { return m.caller }
+
 // Incarnation returns the incarnation of the entry.
 func (m Member) Incarnation() hibiscusstate.Incarnation { return m.incarnation }
 
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -275,18 +275,27 @@
 
 // MemberStates returns the entries that this one knows, itself included, in no order, or ErrStopped.
 func (e *Entry) MemberStates() ([]MemberSnapshot, error) {
-	return ask(e.duty, func(time.Time) []MemberSnapshot {
-		members := []MemberSnapshot{}
-		for _, m := range e.memberList() {
-			members = append(members, MemberSnapshot{member: m, connected: true, self: m.incarnation == e.identity.incarnation})
-		}
-		for id, m := range e.members {
-			if e.peers[id] == nil && id != e.identity.incarnation {
-				members = append(members, MemberSnapshot{member: m})
-			}
+	connected, err := ask(e.duty, func(time.Time) []Member { return e.memberList() })
+	if err != nil {
+		return nil, err
+	}
+	known, err := e.Members()
+	if err != nil {
+		return nil, err
+	}
+	states := []MemberSnapshot{}
+	listed := map[hibiscusstate.Incarnation]bool{}
+	for _, m := range connected {
+		listed[m.incarnation] = true
+		states = append(states, MemberSnapshot{member: m, connected: true, self: m.incarnation == e.identity.incarnation})
+	}
+	for _, m := range known {
+		if !listed[m.incarnation] {
+			listed[m.incarnation] = true
+			states = append(states, MemberSnapshot{member: m})
 		}
-		return members
-	})
+	}
+	return states, nil
 }
 
 func (d *Dispatcher) serviceSnapshots(now time.Time) []ServiceSnapshot {
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -41,7 +41,8 @@
 	settings hibiscusprotocol.EntrySettings, incarnation hibiscusstate.Incarnation,
 	network hibiscustransport.Network, log *slog.Logger,
 ) *Entry {
-	identity := hibiscuscoordination.NewIdentity(incarnation, settings.SessionAddress(), settings.FailureDomain())
+	identity := hibiscuscoordination.NewIdentity(incarnation, settings.SessionAddress(), settings.FailureDomain()).
+		WithCaller(settings.CallerAddress())
 	event := func(event hibiscuscoordination.Event) {
 		log.Info("audit: "+event.Kind().String(), "subject", event.Subject(), "cause", event.Cause())
 	}
--- a/hibiscusprocess/operator_test.go
+++ b/hibiscusprocess/operator_test.go
@@ -100,6 +100,8 @@
 		d.admin("POST", "10.0.1.1:7100/v1/admin/endpoints/10.0.2.1:7300/drain", viewerToken)
 		d.admin("POST", "10.0.1.1:7100/v1/admin/endpoints/10.0.9.9:7300/drain", operatorToken)
 		d.admin("GET", "10.0.1.1:7100/v1/admin/status", viewerToken)
+		d.admin("GET", "10.0.1.1:7100/v1/admin/members?limit=1", viewerToken)
+		d.admin("GET", "10.0.1.2:7100/v1/admin/members", viewerToken)
 		callers := d.load(30, "10.0.1.1", "10.0.1.2")
 		time.Sleep(2 * time.Second)
 		drained := float64(time.Since(d.began).Milliseconds())
--- a/hibiscusprotocol/admin_http.go
+++ b/hibiscusprotocol/admin_http.go
@@ -136,6 +136,7 @@
 	Address       string `json:"address"`
 	Incarnation   string `json:"incarnation"`
 	FailureDomain string `json:"failure_domain"`
+	CallerAddress string `json:"caller_address,omitempty"`
 	Connected     bool   `json:"connected"`
 	Self          bool   `json:"self"`
 }
@@ -265,7 +266,7 @@
 		m := members[i].Member()
 		bodies[i] = adminMemberBody{
 			Address: m.Address(), Incarnation: m.Incarnation().String(), FailureDomain: m.Domain(),
-			Connected: members[i].Connected(), Self: members[i].Self(),
+			CallerAddress: m.Caller(), Connected: members[i].Connected(), Self: members[i].Self(),
 		}
 	}
 	writePage(w, r, err, bodies, func(m adminMemberBody) string { return m.Address + " " + m.Incarnation })
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -118,7 +118,7 @@
 func helloOut(h hibiscuscoordination.Hello) *hibiscuswire.Hello {
 	return hibiscuswire.Hello_builder{
 		Role: int32(h.Role()), Incarnation: uint64(h.Incarnation()), Address: h.Address(), Domain: h.Domain(),
-		Version: h.Version(), Capacity: capacityOut(h.Capacity()),
+		Version: h.Version(), Capacity: capacityOut(h.Capacity()), Caller: h.Caller(),
 	}.Build()
 }
 
@@ -267,7 +267,7 @@
 func (in *frameReader) hello(h *hibiscuswire.Hello) hibiscuscoordination.Hello {
 	role := enum(in, "role", h.GetRole(), hibiscuscoordination.RoleAgent)
 	return hibiscuscoordination.NewHello(role, hibiscusstate.Incarnation(h.GetIncarnation()), h.GetAddress(), h.GetDomain(),
-		h.GetVersion(), in.capacity(h.GetCapacity()))
+		h.GetVersion(), in.capacity(h.GetCapacity())).WithCaller(h.GetCaller())
 }
 
 func (in *frameReader) capacity(c *hibiscuswire.Capacity) hibiscuscoordination.Capacity {
