--- a/hibiscuscommand/admin_test.go
+++ b/hibiscuscommand/admin_test.go
@@ -196,6 +196,19 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "status_all", []byte(whole+refused))
 }
 
+// TestConfigurationInForce guards against an entry that serves by its initial text and is shown as without configuration.
+func TestConfigurationInForce(t *testing.T) {
+	Convey("status tells none, the initial text and an accepted version apart", t, func() {
+		var got []string
+		for _, body := range []string{`{}`, `{"configured":true}`, `{"configured":true,"configuration_version":7}`} {
+			var v statusView
+			So(decodeAnswer([]byte(body), &v), ShouldBeNil)
+			got = append(got, v.configuration())
+		}
+		So(got, ShouldResemble, []string{"no configuration", "initial_text", "configuration 7"})
+	})
+}
+
 // TestHelp guards against a level of the command line whose help is missing, is wider than 80 columns, or does not say
 // what the command needs.
 func TestHelp(t *testing.T) {
--- a/hibiscuscommand/status.go
+++ b/hibiscuscommand/status.go
@@ -36,6 +36,7 @@
 		Ready         bool   `json:"ready"`
 		Draining      bool   `json:"draining"`
 	} `json:"entry"`
+	Configured           bool   `json:"configured"`
 	ConfigurationVersion uint64 `json:"configuration_version"`
 	Jobs                 struct {
 		Running int `json:"running"`
@@ -214,19 +215,15 @@
 
 // line sums an entry up in one line.
 func (v *statusView) line() string {
-	return fmt.Sprintf("entry %s, domain %s: %s, configuration %d, %d jobs running", v.Entry.Address, v.Entry.FailureDomain,
-		v.state(), v.ConfigurationVersion, v.Jobs.Running)
+	return fmt.Sprintf("entry %s, domain %s: %s, %s, %d jobs running", v.Entry.Address, v.Entry.FailureDomain,
+		v.state(), v.configuration(), v.Jobs.Running)
 }
 
 func (v *statusView) text() string {
 	var b strings.Builder
 	line := func(format string, args ...any) { fmt.Fprintln(&b, cut(fmt.Sprintf(format, args...))) }
 	line("entry %s, failure domain %s: %s", v.Entry.Address, v.Entry.FailureDomain, v.state())
-	if v.ConfigurationVersion == 0 {
-		line("no configuration in force")
-	} else {
-		line("configuration version %d in force", v.ConfigurationVersion)
-	}
+	line("%s in force", v.configuration())
 	line("%d jobs running, %d kept in %.1f MB", v.Jobs.Running, v.Jobs.Records, float64(v.Jobs.Bytes)/1e6)
 	line("")
 	return b.String() + v.tables()
@@ -270,6 +267,16 @@
 	return "not ready"
 }
 
+func (v *statusView) configuration() string {
+	switch {
+	case !v.Configured:
+		return "no configuration"
+	case v.ConfigurationVersion == 0:
+		return "initial_text"
+	}
+	return fmt.Sprintf("configuration %d", v.ConfigurationVersion)
+}
+
 // age shows milliseconds in the unit that a reader expects.
 func age(ms int64) string {
 	switch {
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -189,6 +189,7 @@
 type EntrySnapshot struct {
 	identity   Identity
 	version    uint64
+	configured bool
 	draining   bool
 	running    int
 	records    int
@@ -202,9 +203,12 @@
 // Identity returns the incarnation, address and failure domain of the entry.
 func (s *EntrySnapshot) Identity() Identity { return s.identity }
 
-// Version returns the configuration version in force, zero for none.
+// Version returns the configuration version in force, zero when no accepted version is.
 func (s *EntrySnapshot) Version() uint64 { return s.version }
 
+// Configured says whether any configuration is in force; with version zero it is the initial text of the settings.
+func (s *EntrySnapshot) Configured() bool { return s.configured }
+
 // Draining says whether the entry refuses new jobs.
 func (s *EntrySnapshot) Draining() bool { return s.draining }
 
@@ -234,7 +238,7 @@
 	return ask(e.duty, func(time.Time) *EntrySnapshot {
 		d := e.dispatcher
 		return &EntrySnapshot{
-			identity: e.identity, version: e.version(), draining: d.draining, running: len(d.deadlines), records: len(d.jobs),
+			identity: e.identity, version: e.version(), configured: d.Configuration() != nil, draining: d.draining, running: len(d.deadlines), records: len(d.jobs),
 			bytes: d.bytes, forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters,
 			ring: e.duty.snapshot(),
 		}
--- a/hibiscusprotocol/admin_http.go
+++ b/hibiscusprotocol/admin_http.go
@@ -60,6 +60,7 @@
 
 type adminStatusBody struct {
 	Entry                adminEntryBody      `json:"entry"`
+	Configured           bool                `json:"configured"`
 	ConfigurationVersion uint64              `json:"configuration_version"`
 	Jobs                 adminJobsBody       `json:"jobs"`
 	Services             []adminServiceBody  `json:"services"`
@@ -162,6 +163,7 @@
 			Address: identity.Address(), Incarnation: identity.Incarnation().String(), FailureDomain: identity.Domain(),
 			Ready: a.ready(), Draining: snapshot.Draining(),
 		},
+		Configured:           snapshot.Configured(),
 		ConfigurationVersion: snapshot.Version(),
 		Jobs:                 adminJobsBody{Running: snapshot.Running(), Records: snapshot.Records(), Bytes: snapshot.Bytes()},
 		Services:             serviceBodies(services),
