Give no task to a worker whose endpoint is gone

Cause: a worker without slots has no taken slot either, so its view looked less loaded than a full one and drew every waiting task. Its agent rejected them (endpoint_down), they came back eight times within milliseconds, and the job failed. Ruled out: leaving endpoint_down out of the move budget, because the tasks would still go there and back all the time. Conclusion: a worker without slots is not usable, and operators see why.

--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -238,9 +238,9 @@
 	return ask(e.duty, func(time.Time) *EntrySnapshot {
 		d := e.dispatcher
 		return &EntrySnapshot{
-			identity: e.identity, version: e.version(), configured: d.Configuration() != nil, draining: d.draining, running: len(d.deadlines), records: len(d.jobs),
-			bytes: d.bytes, forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters,
-			ring: e.duty.snapshot(),
+			identity: e.identity, version: e.version(), configured: d.Configuration() != nil, draining: d.draining,
+			running: len(d.deadlines), records: len(d.jobs), bytes: d.bytes,
+			forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters, ring: e.duty.snapshot(),
 		}
 	})
 }
@@ -257,12 +257,12 @@
 	})
 }
 
-// TroubledWorkers returns a copy of the view of each worker that is lost or not in good health, in no order, or ErrStopped;
-// it holds up the duty for far less time than Workers when most workers are well.
+// TroubledWorkers returns a copy of the view of each worker that is lost, without endpoint, or not in good health, in no
+// order, or ErrStopped; it holds up the duty for far less time than Workers when most workers are well.
 func (e *Entry) TroubledWorkers() ([]hibiscusstate.Worker, error) {
 	return ask(e.duty, func(time.Time) []hibiscusstate.Worker {
 		return e.dispatcher.workerSnapshots(func(w *hibiscusstate.Worker) bool {
-			return !w.Connected() || w.Health() != hibiscusstate.HealthGood
+			return !w.Connected() || w.Slots() == 0 || w.Health() != hibiscusstate.HealthGood
 		})
 	})
 }
--- /dev/null
+++ b/hibiscusprocess/endpoint_gone_test.go
@@ -0,0 +1,35 @@
+package hibiscusprocess
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestSessionEndpointGone guards against a worker whose endpoint died that draws waiting tasks: its view has no slot that is
+// taken, so it looked less loaded than a full one, and the tasks came back eight times within milliseconds and failed.
+func TestSessionEndpointGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startEntry("10.0.1.1")
+		d.startWorker("10.0.2.1", 1) // one slot and short tasks: ties of moments leave the order open
+		d.startWorker("10.0.2.2", 1)
+		time.Sleep(settleTime)
+		d.note("the announcements of endpoint 10.0.2.2 stop")
+		d.network.Block("10.0.2.2:7300", true)
+		d.network.Cut("10.0.2.2:7300")
+		time.Sleep(2 * endpointGone)
+		d.admin("GET", "10.0.1.1:7100/v1/admin/status", viewerToken)
+		task := `,{"kind":"plausibility_check","payload":{"run_ms":15}}`
+		d.submit("caller", "10.0.1.1", d.key("10.0.1.1", "key-1"),
+			`{"team":"nokkhao","service":"sighting","deadline_ms":20000,"tasks":[`+strings.Repeat(task, 6)[1:]+`]}`)
+		d.network.Block("10.0.2.2:7300", false)
+		time.Sleep(time.Second)
+		d.close()
+		d.golden("session_endpoint_gone")
+	})
+}
+
+// endpointGone is longer than an agent waits for an announcement.
+const endpointGone = 4 * time.Second
--- a/hibiscusprotocol/admin_http.go
+++ b/hibiscusprotocol/admin_http.go
@@ -25,6 +25,8 @@
 	maxPage     = 1000
 	// maxProblems bounds the endpoints that GET /v1/admin/status names; the endpoints page has them all.
 	maxProblems = 20
+	// healthNoEndpoint stands in place of a good health when the agent has no endpoint.
+	healthNoEndpoint = "no_endpoint"
 )
 
 // AdminAPI serves operators of one entry.
@@ -196,6 +198,8 @@
 func troubleOf(e adminEndpointBody) int {
 	switch {
 	case !e.Connected:
+		return 5
+	case e.Health == healthNoEndpoint:
 		return 4
 	case e.Health == hibiscusstate.HealthOut.String():
 		return 3
@@ -324,6 +328,10 @@
 			Slots: worker.Slots(), InFlight: worker.InFlight(), Finished: worker.Finished(), Failed: worker.Failed(),
 			Lease: worker.Lease(),
 		}
+		if worker.Slots() == 0 && worker.Health() == hibiscusstate.HealthGood {
+			bodies[i].Health = healthNoEndpoint
+			bodies[i].Cause = "no endpoint announces itself to the agent"
+		}
 		if worker.Health() == hibiscusstate.HealthOut {
 			bodies[i].TrialInMS = max(worker.OutUntil().Sub(now).Milliseconds(), 0)
 		}
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -153,7 +153,7 @@
 
 // Usable says whether the worker may get a task.
 func (w *Worker) Usable() bool {
-	if !w.connected {
+	if !w.connected || w.slots == 0 {
 		return false
 	}
 	switch w.health {
