Order waiting jobs by a due time that follows their length

Cause: among the slowest 1% of responses are single tasks of 50 to 100 ms that waited 60 to 250 ms behind tasks several times as long, whose callers had the same deadline or named an earlier one. A deadline of seconds says little about the order of work that takes a tenth of it. Ruled out: run times alone as the key, which would starve long jobs; the due time grows with the age of the job.

Conclusion: a job is due after 4 times its longest expected task or at its deadline, whichever is earlier. Tasks of a begun job stay together because they share the due time.

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -44,6 +44,8 @@
 	// staleWaitPart is the part of its run time that a task may wait for a slot that this entry believed to be free. A
 	// rejection costs two messages and another try by a view that is no better.
 	staleWaitPart = 4
+	// dueFactor is how many times its longest task a job is expected to take, for the order of waiting jobs.
+	dueFactor = 4
 	// maxWaiters bounds the callers that wait for one job.
 	maxWaiters = 64
 )
@@ -245,10 +247,15 @@
 		r.waiters = append(r.waiters, reply)
 	}
 	p := d.pool(s.service)
+	longest := time.Duration(0)
 	for i := range job.Len() {
 		t := job.Task(i)
 		t.SetExpected(p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t.Kind(), t.Declared())))
-		p.queue.Push(t)
+		longest = max(longest, t.Expected())
+	}
+	job.SetDue(now.Add(dueFactor * longest))
+	for i := range job.Len() {
+		p.queue.Push(job.Task(i))
 	}
 	d.dispatch(now, p)
 }
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -137,6 +137,7 @@
 	service     string
 	submittedAt time.Time
 	deadline    time.Time
+	due         time.Time
 	tasks       []Task
 	pending     int
 	unfinished  int
@@ -148,7 +149,7 @@
 
 // NewJob returns a running job without tasks.
 func NewJob(key SubmissionKey, digest uint64, team, service string, submittedAt, deadline time.Time) *Job {
-	return &Job{key: key, digest: digest, team: team, service: service, submittedAt: submittedAt, deadline: deadline}
+	return &Job{key: key, digest: digest, team: team, service: service, submittedAt: submittedAt, deadline: deadline, due: deadline}
 }
 
 // AddTasks appends a task for each specification; it must be called once, before the job is shared.
@@ -180,6 +181,17 @@
 // Deadline returns when the answer is due.
 func (j *Job) Deadline() time.Time { return j.deadline }
 
+// Due returns the time by which waiting jobs are ordered, the deadline unless SetDue brought it forward.
+func (j *Job) Due() time.Time { return j.due }
+
+// SetDue brings the order of the job forward to the time by which a job of its length is expected; a time after the
+// deadline is ignored.
+func (j *Job) SetDue(due time.Time) {
+	if due.Before(j.deadline) {
+		j.due = due
+	}
+}
+
 // Len returns the number of tasks.
 func (j *Job) Len() int { return len(j.tasks) }
 
--- a/hibiscusstate/queue.go
+++ b/hibiscusstate/queue.go
@@ -10,7 +10,7 @@
 // Teams share the service by weighted fair queueing: each team has a virtual time that advances by the expected run time
 // of what it sends divided by its share, and the team that is furthest behind goes next. A share orders only what waits,
 // so an unused share is lent to the others and taken back with the next task of its owner. Within a team the earliest
-// deadline goes first, in two classes: when long work holds its cap of slots, only the short class is served.
+// due time goes first (Job.Due), in two classes: when long work holds its cap of slots, only the short class is served.
 //
 // Cancelled tasks stay in the heaps and are skipped when they reach the head, so a wave of cancellations scans nothing.
 type FairQueue struct {
@@ -194,10 +194,10 @@
 	return t
 }
 
-// dueBefore orders tasks by their job's deadline, then by the job's age, so that a job that was begun is finished first.
+// dueBefore orders tasks by when their job is due, then by the job's age, so that a job that was begun is finished first.
 func dueBefore(a, b *Task) bool {
-	if !a.job.deadline.Equal(b.job.deadline) {
-		return a.job.deadline.Before(b.job.deadline)
+	if !a.job.due.Equal(b.job.due) {
+		return a.job.due.Before(b.job.due)
 	}
 	if a.job != b.job {
 		if !a.job.submittedAt.Equal(b.job.submittedAt) {
