--- a/hibiscusprocess/deployment_test.go
+++ b/hibiscusprocess/deployment_test.go
@@ -106,7 +106,7 @@
 // startWorker starts an agent and its endpoint; name is like "10.0.2.1".
 func (d *deployment) startWorker(name string, slots int) {
 	settings, err := hibiscusprotocol.ParseAgentSettings(name, fmt.Appendf(nil,
-		"endpoint_address: %s:7300\nfailure_domain: a\nshared_key: %s\nseed_entries: [%s]\n",
+		"endpoint_address: %s:7300\nfailure_domain: a\nshared_key: %s\nseed_entries: [%s]\n"+testViewer,
 		name, testSecret, strings.Join(d.seeds, ", ")))
 	d.must(err)
 	d.run(name, NewAgent(settings, d.incarnation(), d.tcp(), d.logger()).Run)
--- a/hibiscusprocess/operator_test.go
+++ b/hibiscusprocess/operator_test.go
@@ -19,7 +19,8 @@
 const (
 	viewerToken   = "viewer token for tests"
 	operatorToken = "operator token for tests"
-	testTokens    = "viewer_token: " + viewerToken + "\noperator_token: " + operatorToken + "\n"
+	testViewer    = "viewer_token: " + viewerToken + "\n"
+	testTokens    = testViewer + "operator_token: " + operatorToken + "\n"
 	loadJob       = `{"team":"nokkhao","service":"sighting","tasks":[{"kind":"list_sync","payload":{"run_ms":400}}]}`
 )
 
