--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -20,11 +20,12 @@
 	identity      Identity
 	keeper        *SlotKeeper
 	entries       map[hibiscusstate.Incarnation]*Peer
-	members       map[hibiscusstate.Incarnation]Member
+	members       *memberLists
 	runners       []*runner
 	configuration *hibiscusstate.Configuration
 	announcedAt   time.Time
 	announced     bool
+	stopping      bool
 	execute       func(ctx context.Context, order hibiscusstate.Order) RunResult
 	log           *slog.Logger
 	running       sync.WaitGroup
@@ -34,8 +35,10 @@
 type runner struct {
 	ring   *hibiscusstate.Ring[hibiscusstate.Order]
 	mu     sync.Mutex
-	id     hibiscusstate.TaskID
+	try    hibiscusstate.TaskTry
 	cancel context.CancelCauseFunc
+	// stopped is the last try that was to be stopped; the request may come before the runner has taken the task.
+	stopped hibiscusstate.TaskTry
 }
 
 // NewAgent returns the duty of an agent process; execute gives one task to the endpoint and waits for its result.
@@ -45,7 +48,7 @@
 	a := &Agent{
 		identity: identity,
 		entries:  map[hibiscusstate.Incarnation]*Peer{},
-		members:  map[hibiscusstate.Incarnation]Member{},
+		members:  newMemberLists(),
 		execute:  execute,
 		log:      log,
 	}
@@ -66,28 +69,47 @@
 // Stop ends the duty after the commands that were queued before.
 func (a *Agent) Stop() { a.duty.ring.Close() }
 
-// Announce takes an announcement of the endpoint: its service and how many tasks it runs at once.
+// Announce takes an announcement of the endpoint: its service and how many tasks it runs at once. A process that stops
+// ignores it, because the endpoint goes on announcing itself.
 func (a *Agent) Announce(service string, slots int) error {
 	return a.duty.do(func(now time.Time) {
+		if a.stopping {
+			return
+		}
 		a.announced = true
 		a.announcedAt = now
 		a.keeper.SetEndpoint(now, service, slots)
 	})
 }
 
-// Leave makes the agent take no new work.
+// Leave makes the agent take no new work until the endpoint announces itself again; when it returns, no more tasks are
+// handed to runners.
 func (a *Agent) Leave() error {
+	_, err := ask(a.duty, func(time.Time) bool {
+		a.leave()
+		return true
+	})
+	return err
+}
+
+// Drain makes the agent take no new work for good.
+func (a *Agent) Drain() error {
 	return a.duty.do(func(time.Time) {
-		a.log.Info("agent: endpoint is leaving")
-		a.announced = false
-		a.keeper.Leave()
+		a.stopping = true
+		a.leave()
 	})
 }
 
-// Idle says whether no task runs or waits.
-func (a *Agent) Idle() bool {
-	idle, err := ask(a.duty, func(time.Time) bool { return a.keeper.Idle() })
-	return err != nil || idle
+func (a *Agent) leave() {
+	a.log.Info("agent: endpoint is leaving")
+	a.announced = false
+	a.keeper.Leave()
+}
+
+// Drained says whether no task runs or waits, and all connected entries know that the endpoint has left.
+func (a *Agent) Drained() bool {
+	drained, err := ask(a.duty, func(time.Time) bool { return a.keeper.Idle() && a.keeper.Acknowledged() })
+	return err != nil || drained
 }
 
 // Hello returns the introduction of this agent. It offers no slots: these come with the lease in the first capacity
@@ -100,17 +122,26 @@
 // Members returns the entries that this agent has heard of.
 func (a *Agent) Members() ([]Member, error) {
 	return ask(a.duty, func(time.Time) []Member {
-		members := make([]Member, 0, len(a.members))
-		for _, m := range a.members {
-			members = append(members, m)
+		members := a.members.all()
+		for id, p := range a.entries {
+			// A connected entry stays wanted whatever the lists say, because an unwanted session is closed.
+			members = append(members, NewMember(id, p.Hello().Address(), p.Hello().Domain(), 0))
 		}
 		return members
 	})
 }
 
+// KnownEntries returns how many entries the agent keeps leases for.
+func (a *Agent) KnownEntries() (int, error) {
+	return ask(a.duty, func(time.Time) int { return len(a.keeper.entries) })
+}
+
 // PeerUp takes a session that has opened.
 func (a *Agent) PeerUp(p *Peer) error {
 	return a.duty.do(func(now time.Time) {
+		if former := a.entries[p.Hello().Incarnation()]; former != nil {
+			former.Close()
+		}
 		a.entries[p.Hello().Incarnation()] = p
 		a.keeper.EntryUp(now, p.Hello().Incarnation())
 		a.log.Info("session: peer connected", "role", p.Hello().Role().String(), "address", p.Hello().Address())
@@ -124,12 +155,13 @@
 
 // PeerDown takes the end of a session.
 func (a *Agent) PeerDown(p *Peer) error {
-	return a.duty.do(func(time.Time) {
+	return a.duty.do(func(now time.Time) {
 		if a.entries[p.Hello().Incarnation()] != p {
 			return
 		}
 		delete(a.entries, p.Hello().Incarnation())
 		a.keeper.EntryDown(p.Hello().Incarnation())
+		a.members.lost(now, p.Hello().Incarnation())
 		a.log.Info("session: peer lost", "role", p.Hello().Role().String(), "address", p.Hello().Address())
 	})
 }
@@ -144,6 +176,9 @@
 	case MessageOrders:
 		a.keeper.Orders(now, id, m.Orders())
 	case MessageStop:
+		if len(m.Tries()) == 0 {
+			a.keeper.Acknowledge(id)
+		}
 		a.keeper.Stop(m.Tries())
 	case MessageSettle:
 		a.keeper.Settle(id, m.Tries())
@@ -152,9 +187,7 @@
 	case MessageConfiguration:
 		a.configure(m.Configuration())
 	case MessageMembers:
-		for _, member := range m.Members() {
-			a.members[member.Incarnation()] = member
-		}
+		a.members.learn(id, m.Members())
 	case MessageCapacity:
 		a.log.Info("agent: an operator changed the drain", "drained", m.Capacity().Drained())
 		a.keeper.SetDrained(id, m.Capacity().Drained())
@@ -186,6 +219,7 @@
 		a.keeper.SetEndpoint(now, a.keeper.service, 0)
 	}
 	a.keeper.Tick(now)
+	a.members.forget(now)
 }
 
 func (a *Agent) nextWake(now time.Time) time.Time { return a.keeper.NextTick(now) }
@@ -230,7 +264,13 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	timed, cancelTimer := context.WithTimeout(ctx, order.Budget())
 	r.mu.Lock()
-	r.id = order.ID()
+	if r.stopped == order.Try() {
+		r.mu.Unlock()
+		cancelTimer()
+		cancel(nil)
+		return NewNotRunResult(hibiscusstate.RejectionStopped)
+	}
+	r.try = order.Try()
 	r.cancel = cancel
 	r.mu.Unlock()
 	result := a.execute(timed, order)
@@ -245,24 +285,12 @@
 // errStopRequested is the cause with which a task is given up on request.
 var errStopRequested = context.Canceled
 
-func (a *Agent) stopSlot(slot int, id hibiscusstate.TaskID) {
+func (a *Agent) stopSlot(slot int, try hibiscusstate.TaskTry) {
 	r := a.runners[slot]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancel != nil && r.id == id {
+	r.stopped = try
+	if r.cancel != nil && r.try == try {
 		r.cancel(errStopRequested)
 	}
 }
-
-// CloseSessions ends all sessions after the messages that were sent before, and waits until that was queued.
-func (a *Agent) CloseSessions() {
-	closed, err := ask(a.duty, func(time.Time) int {
-		for _, p := range a.entries {
-			p.Close()
-		}
-		return len(a.entries)
-	})
-	if err == nil {
-		a.log.Debug("agent: sessions closing", "sessions", closed)
-	}
-}
--- /dev/null
+++ b/hibiscuscoordination/agent_test.go
@@ -0,0 +1,48 @@
+package hibiscuscoordination
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// TestAgentStopBeforeStart guards against a stop that is lost because it reaches the agent after a task was handed to its
+// runner and before the runner has taken it: the task would run to its end.
+func TestAgentStopBeforeStart(t *testing.T) {
+	var finished atomic.Int32
+	synctest.Test(t, func(*testing.T) {
+		for range 500 {
+			a := NewAgent(NewIdentity(9, "10.0.2.1:7300", "a"), func(ctx context.Context, _ hibiscusstate.Order) RunResult {
+				select {
+				case <-ctx.Done():
+					return NewRunResult(hibiscusstate.OutcomeStopped, nil, "")
+				case <-time.After(time.Second):
+					finished.Add(1)
+					return NewRunResult(hibiscusstate.OutcomeFinished, nil, "")
+				}
+			}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			p := NewPeer(NewHello(RoleEntry, 1, "10.0.1.1:7200", "a", 0, Capacity{}), func(Message) bool { return true }, func() {})
+			// All commands are queued before the duty runs, so that it takes them in one batch.
+			ignore(a.Announce("checks", 1))
+			ignore(a.PeerUp(p))
+			ignore(a.PeerMessage(p, NewOrdersMessage(orderOf(1, 0, 1))))
+			ignore(a.PeerMessage(p, NewStopMessage([]hibiscusstate.TaskTry{tryOf(1, 0)})))
+			go a.Run()
+			time.Sleep(2 * time.Second)
+			a.Stop()
+			synctest.Wait()
+		}
+	})
+	convey.Convey("no stop is lost", t, func() { convey.So(finished.Load(), convey.ShouldEqual, 0) })
+}
+
+// ignore takes the error of a command that is queued for a duty that has not stopped.
+func ignore(error) {}
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -25,7 +25,8 @@
 	maxJobBytes = 256 << 20
 	// jobRetention is how long the answer of a finished job is kept.
 	jobRetention = 10 * time.Minute
-	// maxMoves is how often a task may come back as not run before its job fails.
+	// maxMoves is how often a task may come back as not run before its job fails; coming back from a busy worker does not
+	// count. When it did, a job of 12 tasks of 1.5 s on 4 slots failed, because a waiting place is given up after 100 ms.
 	maxMoves = 8
 	// reportGrace is how long after the deadline a report that is under way is waited for.
 	reportGrace = 50 * time.Millisecond
@@ -427,8 +428,13 @@
 	switch r.Status() {
 	case hibiscusstate.StatusWaiting, hibiscusstate.StatusRunning:
 		t.MarkSent(a.worker.ID(), t.SentAt())
+		if t.Job().Cancelled() || !now.Before(t.Job().Deadline()) {
+			// The job ended while the session was lost, so the agent has not been asked to stop the task.
+			d.counters.messages++
+			d.send(a.worker.ID(), NewStopMessage([]hibiscusstate.TaskTry{t.Try()}))
+		}
 	case hibiscusstate.StatusNeverReceived:
-		d.comeBack(now, a, t, "the task never reached its worker")
+		d.comeBack(now, a, t, false, "the task never reached its worker")
 	case hibiscusstate.StatusRejected:
 		d.counters.countRejection(r.Rejection())
 		if r.Rejection() == hibiscusstate.RejectionSealed {
@@ -438,22 +444,23 @@
 		if r.Rejection() == hibiscusstate.RejectionNoFreeSlot {
 			a.worker.Report(max(r.Others(), a.worker.Slots()-a.worker.InFlight()+1), r.Waiting(), now)
 		}
-		d.comeBack(now, a, t, "no worker took the task: "+r.Rejection().String())
+		busy := r.Rejection() == hibiscusstate.RejectionNoFreeSlot || r.Rejection() == hibiscusstate.RejectionWaitedOut
+		d.comeBack(now, a, t, busy, "no worker took the task: "+r.Rejection().String())
 	case hibiscusstate.StatusDone:
 		d.done(now, a, t, r)
 	}
 }
 
 // comeBack queues a task that is known not to have started, unless it is of no more use.
-func (d *Dispatcher) comeBack(now time.Time, a *assignment, t *hibiscusstate.Task, reason string) {
+func (d *Dispatcher) comeBack(now time.Time, a *assignment, t *hibiscusstate.Task, busy bool, reason string) {
 	job := t.Job()
-	if t.Moves() >= maxMoves || job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Deadline()) {
+	if t.Refused() >= maxMoves || job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Deadline()) {
 		d.resolve(now, a, t, hibiscusstate.OutcomeNotRun, nil, reason, 0)
 		return
 	}
 	d.release(a, t)
 	d.counters.moves++
-	t.MarkReturned()
+	t.MarkReturned(busy)
 	a.pool.queue.Push(t)
 }
 
@@ -630,7 +637,7 @@
 	a.orders = nil
 	for _, order := range orders {
 		if t := a.tasks[order.ID()]; t != nil {
-			d.comeBack(now, a, t, "the session to the worker took no more tasks")
+			d.comeBack(now, a, t, true, "the session to the worker took no more tasks")
 		}
 	}
 }
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -12,18 +13,24 @@
 // the incarnation in its key: its own ones to the Dispatcher, those of another live entry over the session to it, and those
 // of an entry that is gone to a recovery from the agents.
 
+// readyLimit is how long an entry that has just started may wait for workers before it counts as ready; agents dial a new
+// entry within 250 ms of hearing of it.
+const readyLimit = 3 * time.Second
+
 // Entry is safe for concurrent use; its methods queue commands for the duty.
 type Entry struct {
 	duty        *duty
 	identity    Identity
 	dispatcher  *Dispatcher
 	agents      map[hibiscusstate.Incarnation]*Peer
-	peers       map[hibiscusstate.Incarnation]*Peer
-	members     map[hibiscusstate.Incarnation]Member
+	peers       map[hibiscusstate.Incarnation][]*Peer
+	members     *memberLists
 	forwards    map[uint64]*forward
 	recoveries  map[hibiscusstate.SubmissionKey]*recovery
 	drains      map[hibiscusstate.Incarnation]*drainRequest
 	lastRequest uint64
+	configured  time.Time
+	ready       bool
 	event       func(Event)
 	log         *slog.Logger
 }
@@ -54,8 +61,8 @@
 	e := &Entry{
 		identity:   identity,
 		agents:     map[hibiscusstate.Incarnation]*Peer{},
-		peers:      map[hibiscusstate.Incarnation]*Peer{},
-		members:    map[hibiscusstate.Incarnation]Member{},
+		peers:      map[hibiscusstate.Incarnation][]*Peer{},
+		members:    newMemberLists(),
 		forwards:   map[uint64]*forward{},
 		recoveries: map[hibiscusstate.SubmissionKey]*recovery{},
 		drains:     map[hibiscusstate.Incarnation]*drainRequest{},
@@ -101,10 +108,19 @@
 	return ask(e.duty, func(time.Time) *hibiscusstate.Configuration { return e.dispatcher.Configuration() })
 }
 
-// Ready says whether the entry takes submissions.
+// Ready says whether the entry takes submissions. An entry that has just started waits for the agents of all services for
+// a while: callers that the balancer sent earlier would be refused for want of workers.
 func (e *Entry) Ready() bool {
-	ready, err := ask(e.duty, func(time.Time) bool {
-		return e.dispatcher.Configuration() != nil && !e.dispatcher.draining
+	ready, err := ask(e.duty, func(now time.Time) bool {
+		c := e.dispatcher.Configuration()
+		if c == nil || e.dispatcher.draining {
+			return false
+		}
+		if !e.ready {
+			e.ready = now.Sub(e.configured) >= readyLimit || !slices.ContainsFunc(c.Document().Services(),
+				func(s hibiscusstate.Service) bool { return e.dispatcher.pool(s.Name()).slots == 0 })
+		}
+		return e.ready
 	})
 	return err == nil && ready
 }
@@ -148,7 +164,9 @@
 
 func (e *Entry) afterBatch(now time.Time) {
 	e.dispatcher.Tick(now)
+	e.expireForwards(now)
 	e.expireRecoveries(now)
+	e.members.forget(now)
 	e.dispatcher.Flush(now)
 }
 
@@ -173,11 +191,7 @@
 		e.routeHere(now, s, reply)
 		return
 	}
-	if p := e.peers[owner]; p != nil {
-		e.forward(now, p, s, reply)
-		return
-	}
-	e.recover(now, s, reply)
+	e.forward(now, s, reply)
 }
 
 func (e *Entry) routeHere(now time.Time, s *Submission, reply func(*Answer)) {
@@ -198,12 +212,20 @@
 	if !e.dispatcher.Configure(now, c) {
 		return
 	}
+	if e.configured.IsZero() {
+		e.configured = now
+	}
 	e.log.Info("config: version in force", "version", c.Version())
+	e.tellAll(NewConfigurationMessage(c))
+}
+
+// tellAll sends a message to all agents, and to each entry once.
+func (e *Entry) tellAll(m Message) {
 	for _, p := range e.agents {
-		p.Send(NewConfigurationMessage(c))
+		p.Send(m)
 	}
-	for _, p := range e.peers {
-		p.Send(NewConfigurationMessage(c))
+	for _, sessions := range e.peers {
+		sessions[0].Send(m)
 	}
 }
 
@@ -215,11 +237,18 @@
 	p.Send(NewMembersMessage(e.memberList()))
 	switch hello.Role() {
 	case RoleAgent:
+		if former := e.agents[hello.Incarnation()]; former != nil {
+			former.Close()
+		}
 		e.agents[hello.Incarnation()] = p
 		e.dispatcher.WorkerUp(now, hello)
+		e.recoveryFound(hello.Incarnation(), p)
 	case RoleEntry:
-		e.peers[hello.Incarnation()] = p
-		e.updateEntries()
+		e.peers[hello.Incarnation()] = append(e.peers[hello.Incarnation()], p)
+		if len(e.peers[hello.Incarnation()]) == 1 {
+			e.updateEntries()
+		}
+		e.forwardsFound(now, hello.Incarnation())
 	}
 	e.log.Info("session: peer connected", "role", hello.Role().String(), "address", hello.Address())
 }
@@ -236,28 +265,30 @@
 		e.answerDrain(hello.Incarnation(), ErrNoAnswer)
 		e.recoveryLost(now, hello.Incarnation())
 	case RoleEntry:
-		if e.peers[hello.Incarnation()] != p {
-			return
+		e.peers[hello.Incarnation()] = slices.DeleteFunc(e.peers[hello.Incarnation()], func(other *Peer) bool { return other == p })
+		if len(e.peers[hello.Incarnation()]) == 0 {
+			delete(e.peers, hello.Incarnation())
+			e.members.lost(now, hello.Incarnation())
+			e.updateEntries()
 		}
-		delete(e.peers, hello.Incarnation())
-		e.updateEntries()
 		e.forwardsLost(now, p)
 	}
 	e.log.Info("session: peer lost", "role", hello.Role().String(), "address", hello.Address())
 }
 
-// updateEntries tells the Dispatcher which entries share the workers.
+// updateEntries tells the Dispatcher which entries share the workers, and all others which entries there are.
 func (e *Entry) updateEntries() {
 	entries := []hibiscusstate.Incarnation{e.identity.incarnation}
 	for id := range e.peers {
 		entries = append(entries, id)
 	}
 	e.dispatcher.SetEntries(entries)
+	e.tellAll(NewMembersMessage(e.memberList()))
 }
 
 func (e *Entry) peerMessage(now time.Time, p *Peer, m Message) {
 	id := p.Hello().Incarnation()
-	if e.agents[id] != p && e.peers[id] != p {
+	if e.agents[id] != p && !slices.Contains(e.peers[id], p) {
 		// A message that was read before its session was replaced; the settlement over the new session covers it.
 		return
 	}
@@ -266,6 +297,11 @@
 		e.dispatcher.Reports(now, id, m.Reports())
 	case MessageCapacity:
 		e.dispatcher.Capacity(now, id, m.Capacity())
+		if m.Capacity().Leaving() {
+			// An empty stop message behind the last orders tells the agent that no order is under way to it.
+			e.dispatcher.Flush(now)
+			p.Send(NewStopMessage(nil))
+		}
 		e.confirmDrain(p, m.Capacity())
 	case MessageRecovered:
 		e.recovered(now, id, m)
@@ -276,24 +312,18 @@
 	case MessageConfiguration:
 		e.configure(now, m.Configuration())
 	case MessageMembers:
-		e.learnMembers(m.Members())
+		e.members.learn(id, m.Members())
 	case MessageHello, MessagePing, MessagePong:
 	case MessageOrders, MessageStop, MessageSettle, MessageRecover:
 		e.log.Warn("session: message not meant for an entry", "kind", m.Kind().String())
 	}
 }
 
-// learnMembers remembers entries that the membership duty should connect to.
-func (e *Entry) learnMembers(members []Member) {
-	for _, m := range members {
-		e.members[m.Incarnation()] = m
-	}
-}
-
 func (e *Entry) memberList() []Member {
 	members := []Member{NewMember(e.identity.incarnation, e.identity.address, e.identity.domain, 0)}
-	for _, p := range e.peers {
-		members = append(members, NewMember(p.Hello().Incarnation(), p.Hello().Address(), p.Hello().Domain(), 0))
+	for id, sessions := range e.peers {
+		hello := sessions[0].Hello()
+		members = append(members, NewMember(id, hello.Address(), hello.Domain(), 0))
 	}
 	return members
 }
@@ -302,8 +332,8 @@
 func (e *Entry) Members() ([]Member, error) {
 	return ask(e.duty, func(time.Time) []Member {
 		members := e.memberList()
-		for id, m := range e.members {
-			if e.peers[id] == nil && id != e.identity.incarnation {
+		for _, m := range e.members.all() {
+			if e.peers[m.Incarnation()] == nil && m.Incarnation() != e.identity.incarnation {
 				members = append(members, m)
 			}
 		}
--- a/hibiscuscoordination/recovery.go
+++ b/hibiscuscoordination/recovery.go
@@ -9,43 +9,67 @@
 // What an entry does with a submission whose key another incarnation issued. While that incarnation lives, the submission
 // goes to it. When it is gone, this entry asks every agent for what it has under the key and answers from that. It never
 // starts a task under a foreign key, which is why no agreement between entries is needed.
+//
+// A recovery seals the key at the agents and so ends a job whose entry still lives. Therefore a submission first waits for
+// a session to its entry: a lost one is dialled again at once, and an entry that has just started has none yet.
 
 const (
+	// ownerTimeout is how long a submission waits for a session to the entry that holds its record.
+	ownerTimeout = time.Second
 	// recoverTimeout is how long an agent may take to answer before it counts as lost.
 	recoverTimeout = time.Second
 	// recoverLimit is how long a recovery waits for tasks that still run when the submission names no deadline.
 	recoverLimit = defaultDeadline
 )
 
-// forward is a submission that another entry is to answer.
+// forward is a submission that another entry is to answer; peer is nil while there is no session to that entry.
 type forward struct {
 	peer       *Peer
 	submission *Submission
 	reply      func(*Answer)
+	due        time.Time
 }
 
 // recovery is a job of a lost entry that is put together from the agents.
 type recovery struct {
 	key       hibiscusstate.SubmissionKey
-	digest    uint64
-	hasBody   bool
 	request   uint64
-	count     int
-	tasks     map[int]hibiscusstate.Report
-	asked     map[hibiscusstate.Incarnation]bool
+	agents    map[hibiscusstate.Incarnation]*agentRecords
 	answerDue time.Time
 	due       time.Time
-	replies   []func(*Answer)
+	callers   []recoveryCaller
 }
 
-func (e *Entry) forward(now time.Time, p *Peer, s *Submission, reply func(*Answer)) {
+// agentRecords is what one agent has under a key, as of its last answer.
+type agentRecords struct {
+	answered bool
+	lostAt   time.Time
+	reports  []hibiscusstate.Report
+}
+
+// recoveryCaller is one of the callers that wait for a recovery; each has sent its own body, or none.
+type recoveryCaller struct {
+	submission *Submission
+	reply      func(*Answer)
+}
+
+// forward passes a submission to the entry that its key names, at once or when there is a session to it.
+func (e *Entry) forward(now time.Time, s *Submission, reply func(*Answer)) {
 	e.lastRequest++
-	request := e.lastRequest
-	if !p.Send(NewForwardMessage(request, s)) {
-		e.recover(now, s, reply)
-		return
+	f := &forward{submission: s, reply: reply}
+	e.forwards[e.lastRequest] = f
+	e.sendForward(now, e.lastRequest, f)
+}
+
+func (e *Entry) sendForward(now time.Time, request uint64, f *forward) {
+	f.peer = nil
+	f.due = now.Add(ownerTimeout)
+	for _, p := range e.peers[f.submission.key.Incarnation()] {
+		if p.Send(NewForwardMessage(request, f.submission)) {
+			f.peer = p
+			return
+		}
 	}
-	e.forwards[request] = &forward{peer: p, submission: s, reply: reply}
 }
 
 // forwarded answers a submission that another entry passed on; one that is not for this incarnation is not passed on again.
@@ -67,10 +91,29 @@
 	f.reply(m.Answer())
 }
 
-// forwardsLost recovers what was passed to an entry whose session was lost.
+// forwardsLost sends again what was passed on over a lost session. The entry that holds the record joins it to the job
+// that is there, so a repeated forward starts nothing.
 func (e *Entry) forwardsLost(now time.Time, p *Peer) {
 	for request, f := range e.forwards {
 		if f.peer == p {
+			e.sendForward(now, request, f)
+		}
+	}
+}
+
+// forwardsFound sends what waited for a session to an entry.
+func (e *Entry) forwardsFound(now time.Time, owner hibiscusstate.Incarnation) {
+	for request, f := range e.forwards {
+		if f.peer == nil && f.submission.key.Incarnation() == owner {
+			e.sendForward(now, request, f)
+		}
+	}
+}
+
+// expireForwards recovers what has waited too long for a session to its entry.
+func (e *Entry) expireForwards(now time.Time) {
+	for request, f := range e.forwards {
+		if f.peer == nil && !now.Before(f.due) {
 			delete(e.forwards, request)
 			e.recover(now, f.submission, f.reply)
 		}
@@ -92,94 +135,124 @@
 		}
 		e.lastRequest++
 		r = &recovery{
-			key: s.key, request: e.lastRequest, tasks: map[int]hibiscusstate.Report{},
-			asked: map[hibiscusstate.Incarnation]bool{}, answerDue: now.Add(recoverTimeout), due: now.Add(limit),
+			key: s.key, request: e.lastRequest, agents: map[hibiscusstate.Incarnation]*agentRecords{},
+			answerDue: now.Add(recoverTimeout), due: now.Add(limit),
 		}
 		e.recoveries[s.key] = r
 		for id, p := range e.agents {
-			if p.Send(NewRecoverMessage(r.request, r.key)) {
-				r.asked[id] = true
-			}
+			r.ask(id, p)
 		}
 	}
-	if !s.fetch && !s.cancel {
-		r.digest = s.digest
-		r.hasBody = true
-		r.count = max(r.count, len(s.tasks))
-	}
-	r.replies = append(r.replies, reply)
+	r.callers = append(r.callers, recoveryCaller{submission: s, reply: reply})
 	e.tryAnswer(now, r)
 }
 
-// recovered takes what one agent has.
+// ask seals the key at an agent and asks for its records, unless it was asked and its session has stayed.
+func (r *recovery) ask(id hibiscusstate.Incarnation, p *Peer) {
+	records := r.agents[id]
+	if records == nil {
+		records = &agentRecords{}
+		r.agents[id] = records
+	}
+	records.lostAt = time.Time{}
+	p.Send(NewRecoverMessage(r.request, r.key))
+}
+
+// recoveryFound asks an agent that has opened a session about the jobs that are being recovered.
+func (e *Entry) recoveryFound(agent hibiscusstate.Incarnation, p *Peer) {
+	for _, r := range e.recoveries {
+		r.ask(agent, p)
+	}
+}
+
+// recovered takes what one agent has. It replaces what the agent said before: a waiting task that was returned is no
+// longer in it.
 func (e *Entry) recovered(now time.Time, agent hibiscusstate.Incarnation, m Message) {
 	r := e.recoveries[m.Key()]
-	if r == nil || r.request != m.Request() {
+	if r == nil || r.request != m.Request() || r.agents[agent] == nil {
 		return
 	}
-	delete(r.asked, agent)
-	for _, report := range m.Reports() {
-		known, ok := r.tasks[report.ID().Index()]
-		if !ok || known.Status() != hibiscusstate.StatusDone {
-			r.tasks[report.ID().Index()] = report
-		}
-		r.count = max(r.count, report.Count())
-	}
+	r.agents[agent].answered = true
+	r.agents[agent].reports = m.Reports()
 	e.tryAnswer(now, r)
 }
 
-// recoveryLost stops waiting for an agent whose session was lost.
+// recoveryLost notes that the session to an agent was lost; until it is back, its tasks count as running for a while.
 func (e *Entry) recoveryLost(now time.Time, agent hibiscusstate.Incarnation) {
 	for _, r := range e.recoveries {
-		delete(r.asked, agent)
-		e.tryAnswer(now, r)
+		if records := r.agents[agent]; records != nil {
+			records.lostAt = now
+		}
 	}
 }
 
 func (e *Entry) expireRecoveries(now time.Time) {
 	for _, r := range e.recoveries {
-		if !now.Before(r.answerDue) {
-			clear(r.asked)
-		}
 		e.tryAnswer(now, r)
 	}
 }
 
 // tryAnswer answers a recovery when all agents have answered and no task runs, or when its time is up.
 func (e *Entry) tryAnswer(now time.Time, r *recovery) {
-	if len(r.asked) > 0 {
+	if r.open(now) && now.Before(r.due) {
 		return
 	}
-	open := false
-	for _, report := range r.tasks {
-		open = open || report.Status() != hibiscusstate.StatusDone
+	delete(e.recoveries, r.key)
+	for _, c := range r.callers {
+		c.reply(r.answer(c.submission))
 	}
-	if open && now.Before(r.due) {
-		return
+}
+
+// open says whether a result may still come.
+func (r *recovery) open(now time.Time) bool {
+	if len(r.agents) == 0 {
+		return now.Before(r.answerDue)
 	}
-	delete(e.recoveries, r.key)
-	answer := r.answer()
-	for _, reply := range r.replies {
-		reply(answer)
+	for _, records := range r.agents {
+		if !records.answered && now.Before(r.answerDue) {
+			return true
+		}
+		if !records.lostAt.IsZero() && now.Sub(records.lostAt) >= unsettledLimit {
+			continue
+		}
+		for _, report := range records.reports {
+			if report.Status() != hibiscusstate.StatusDone {
+				return true
+			}
+		}
 	}
+	return false
 }
 
-func (r *recovery) answer() *Answer {
-	if r.count == 0 {
+// answer puts the job together for one caller, who may have sent a body, and then the same one as the job's.
+func (r *recovery) answer(s *Submission) *Answer {
+	hasBody := !s.fetch && !s.cancel
+	done := map[int]hibiscusstate.Report{}
+	count := 0
+	for _, records := range r.agents {
+		for _, report := range records.reports {
+			if hasBody && report.Digest() != s.digest {
+				return NewRefusal(r.key, hibiscusstate.RefusalKeyReused, true,
+					"this key was used for a submission with another body; the body sent now was not run")
+			}
+			count = max(count, report.Count())
+			if report.Status() == hibiscusstate.StatusDone {
+				done[report.ID().Index()] = report
+			}
+		}
+	}
+	if count == 0 {
+		count = len(s.tasks)
+	}
+	if count == 0 {
 		return unknownOutcome(r.key)
 	}
-	tasks := make([]TaskAnswer, r.count)
+	tasks := make([]TaskAnswer, count)
 	state := hibiscusstate.JobComplete
 	for i := range tasks {
-		report, ok := r.tasks[i]
-		if r.hasBody && ok && report.Digest() != r.digest {
-			return NewRefusal(r.key, hibiscusstate.RefusalKeyReused, true,
-				"this key was used for a submission with another body; the body sent now was not run")
-		}
-		switch {
-		case ok && report.Status() == hibiscusstate.StatusDone:
+		if report, ok := done[i]; ok {
 			tasks[i] = NewTaskAnswer(report.Outcome(), report.Output(), report.Reason())
-		default:
+		} else {
 			tasks[i] = NewTaskAnswer(hibiscusstate.OutcomeMayHaveRun, nil, "the entry that held the record of the task is gone")
 		}
 		if tasks[i].Outcome() != hibiscusstate.OutcomeFinished {
--- a/hibiscuscoordination/slot_keeper.go
+++ b/hibiscuscoordination/slot_keeper.go
@@ -1,6 +1,7 @@
 package hibiscuscoordination
 
 import (
+	"slices"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -18,6 +19,9 @@
 	maxDoneBytes  = 32 << 20
 	// maxTombstones bounds the sealed keys and the settled tries that are remembered.
 	maxTombstones = 100_000
+	// clientRetention is how long an entry without session and tasks is remembered; it is longer than any entry needs to
+	// open a session again.
+	clientRetention = time.Minute
 )
 
 // SlotKeeper decides for one agent.
@@ -33,11 +37,12 @@
 	settled     *hibiscusstate.BoundedSet[hibiscusstate.TaskTry]
 	watchers    map[hibiscusstate.SubmissionKey][]watcher
 	leaving     bool
+	firstLease  uint64
 	drained     bool
 	outbox      map[hibiscusstate.Incarnation][]hibiscusstate.Report
 	send        func(entry hibiscusstate.Incarnation, m Message) bool
 	run         func(slot int, order hibiscusstate.Order)
-	stop        func(slot int, id hibiscusstate.TaskID)
+	stop        func(slot int, try hibiscusstate.TaskTry)
 	started     uint64
 	duplicates  uint64
 	leases      uint64
@@ -51,7 +56,9 @@
 	lease     uint64
 	heardAt   time.Time
 	connected bool
-	tasks     int
+	// acknowledged says that the entry has sent no order after it learned that the endpoint is leaving.
+	acknowledged bool
+	tasks        int
 }
 
 // watcher is an entry that recovers a job and waits for the tasks that still run.
@@ -64,7 +71,7 @@
 type SlotKeeperSeams struct {
 	send func(entry hibiscusstate.Incarnation, m Message) bool
 	run  func(slot int, order hibiscusstate.Order)
-	stop func(slot int, id hibiscusstate.TaskID)
+	stop func(slot int, try hibiscusstate.TaskTry)
 }
 
 // NewSlotKeeperSeams returns the seams: send gives a message to an entry's session without blocking, run hands a task to
@@ -72,7 +79,7 @@
 func NewSlotKeeperSeams(
 	send func(entry hibiscusstate.Incarnation, m Message) bool,
 	run func(slot int, order hibiscusstate.Order),
-	stop func(slot int, id hibiscusstate.TaskID),
+	stop func(slot int, try hibiscusstate.TaskTry),
 ) SlotKeeperSeams {
 	return SlotKeeperSeams{send: send, run: run, stop: stop}
 }
@@ -139,13 +146,43 @@
 	k.startWaiting(now)
 }
 
-// Leave makes the agent reject all orders from now on; what runs and waits goes on.
+// Leave makes the agent reject all orders from now on and gives back what waits; what runs goes on, and so does what waits
+// under a sealed key, which no other agent may start.
 func (k *SlotKeeper) Leave() {
 	if k.leaving {
 		return
 	}
 	k.leaving = true
+	for _, c := range k.entries {
+		c.acknowledged = false
+	}
 	k.announce()
+	for _, t := range slices.Clone(k.waiting) {
+		if !k.mustStay(t) {
+			k.returnWaiting(t, hibiscusstate.RejectionLeaving)
+		}
+	}
+	k.flush()
+}
+
+// Acknowledge takes an entry's word that it has sent no order after it learned that the endpoint is leaving.
+func (k *SlotKeeper) Acknowledge(entry hibiscusstate.Incarnation) {
+	k.client(entry).acknowledged = true
+}
+
+// Acknowledged says whether no connected entry may still have an order under way.
+func (k *SlotKeeper) Acknowledged() bool {
+	for _, c := range k.entries {
+		if c.connected && !c.acknowledged {
+			return false
+		}
+	}
+	return true
+}
+
+// mustStay says whether a waiting task is one that was sealed for a recovery: it runs here or nowhere.
+func (k *SlotKeeper) mustStay(t *hibiscusstate.AgentTask) bool {
+	return k.limit > 0 && k.sealed.Has(t.Order().ID().Key())
 }
 
 // SetDrained takes an operator's word that the worker is to be out, or back; the entry that passed it on gets an answer
@@ -171,6 +208,7 @@
 func (k *SlotKeeper) EntryUp(now time.Time, entry hibiscusstate.Incarnation) {
 	k.Hear(now, entry)
 	k.client(entry).connected = true
+	k.client(entry).acknowledged = false
 	k.send(entry, NewCapacityMessage(k.Capacity(entry)))
 }
 
@@ -179,9 +217,9 @@
 	k.client(entry).connected = false
 }
 
-// Hear renews the lease of an entry; after a silence past the lease it raises the epoch first, so that orders that were
-// sent before the silence are rejected. An order carries the time that is left until its deadline, and a process that was
-// paused between its check and its send would have it started late.
+// Hear renews the lease of an entry; after a silence past the lease it raises the epoch first, so that orders that were sent
+// before the silence are rejected. An order carries the time that is left until its deadline, and a process that was paused
+// between its check and its send would have it started late.
 func (k *SlotKeeper) Hear(now time.Time, entry hibiscusstate.Incarnation) {
 	c := k.client(entry)
 	if now.Sub(c.heardAt) > leaseTime {
@@ -308,7 +346,7 @@
 		case hibiscusstate.StatusWaiting:
 			k.returnWaiting(t, hibiscusstate.RejectionStopped)
 		case hibiscusstate.StatusRunning:
-			k.stop(t.Slot(), try.ID())
+			k.stop(t.Slot(), try)
 		case hibiscusstate.StatusDone, hibiscusstate.StatusRejected, hibiscusstate.StatusNeverReceived:
 		}
 	}
@@ -326,6 +364,7 @@
 	k.client(t.Entry()).tasks--
 	k.tasks.Drop(t)
 	k.reject(t.Entry(), t.Order().Try(), rejection)
+	k.tellWatchers(t.Order().ID().Key())
 }
 
 // Settle says what became of tasks that an entry gave over a session that was lost. A try that never arrived is
@@ -381,7 +420,7 @@
 func (k *SlotKeeper) Tick(now time.Time) {
 	for i := 0; i < len(k.waiting); {
 		t := k.waiting[i]
-		if now.Sub(t.TakenAt()) < t.Order().WaitLimit() {
+		if now.Sub(t.TakenAt()) < t.Order().WaitLimit() || k.mustStay(t) {
 			i++
 			continue
 		}
@@ -389,6 +428,13 @@
 	}
 	k.tasks.Evict(now)
 	k.flush()
+	for entry, c := range k.entries {
+		if !c.connected && c.tasks == 0 && now.Sub(c.heardAt) > clientRetention {
+			// Should the entry come back, its epochs go on above the ones that it had.
+			k.firstLease = max(k.firstLease, c.lease)
+			delete(k.entries, entry)
+		}
+	}
 }
 
 // NextTick returns when Tick has something to do.
@@ -396,7 +442,7 @@
 	next := now.Add(time.Second)
 	for _, t := range k.waiting {
 		due := t.TakenAt().Add(t.Order().WaitLimit())
-		if due.Before(next) {
+		if due.Before(next) && !k.mustStay(t) {
 			next = due
 		}
 	}
@@ -428,38 +474,8 @@
 func (k *SlotKeeper) client(entry hibiscusstate.Incarnation) *client {
 	c := k.entries[entry]
 	if c == nil {
-		c = &client{}
+		c = &client{lease: k.firstLease}
 		k.entries[entry] = c
 	}
 	return c
 }
-
-// RunResult is what a slot's runner says about the task that it had.
-type RunResult struct {
-	outcome   hibiscusstate.Outcome
-	output    []byte
-	reason    string
-	rejection hibiscusstate.Rejection
-}
-
-// NewRunResult returns the result of a task that the endpoint started, or may have started.
-func NewRunResult(outcome hibiscusstate.Outcome, output []byte, reason string) RunResult {
-	return RunResult{outcome: outcome, output: output, reason: reason}
-}
-
-// NewNotRunResult returns the result of a task that the endpoint certainly did not start.
-func NewNotRunResult(rejection hibiscusstate.Rejection) RunResult {
-	return RunResult{rejection: rejection}
-}
-
-// Outcome returns what is known about the task.
-func (r RunResult) Outcome() hibiscusstate.Outcome { return r.outcome }
-
-// Rejection returns why the endpoint did not take the task, RejectionNone when it did or may have.
-func (r RunResult) Rejection() hibiscusstate.Rejection { return r.rejection }
-
-// Output returns the endpoint's answer.
-func (r RunResult) Output() []byte { return r.output }
-
-// Reason returns why the task did not finish.
-func (r RunResult) Reason() string { return r.reason }
--- /dev/null
+++ b/hibiscuscoordination/slot_keeper_test.go
@@ -0,0 +1,169 @@
+package hibiscuscoordination
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// keeperSession is a SlotKeeper with a transcript of what it is told and what it does.
+type keeperSession struct {
+	*SlotKeeper
+	lines []string
+	now   time.Time
+}
+
+func newKeeperSession() *keeperSession {
+	s := &keeperSession{now: time.Unix(1_000_000, 0)}
+	s.SlotKeeper = NewSlotKeeper(9, NewSlotKeeperSeams(
+		func(entry hibiscusstate.Incarnation, m Message) bool {
+			what := []string{m.Kind().String()}
+			for _, r := range m.Reports() {
+				what = append(what, fmt.Sprintf("%s=%s", tryName(r.Try()), reportName(r)))
+			}
+			if m.Kind() == MessageCapacity {
+				what = append(what, fmt.Sprintf("slots=%d leaving=%t lease=%d", m.Capacity().Slots(), m.Capacity().Leaving(), m.Capacity().Lease()))
+			}
+			s.say("  -> entry %d: %s", entry, strings.Join(what, " "))
+			return true
+		},
+		func(slot int, order hibiscusstate.Order) {
+			s.say("  -> runner %d: run %s with %v left", slot, tryName(order.Try()), order.Budget())
+		},
+		func(slot int, try hibiscusstate.TaskTry) { s.say("  -> runner %d: stop %s", slot, tryName(try)) },
+	))
+	return s
+}
+
+func (s *keeperSession) say(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf(format, args...))
+}
+
+// step runs one step under a headline; the time passes first.
+func (s *keeperSession) step(pass time.Duration, headline string, f func()) {
+	s.now = s.now.Add(pass)
+	s.say("%s", headline)
+	f()
+}
+
+func tryName(t hibiscusstate.TaskTry) string {
+	return fmt.Sprintf("%d.%d.%d/%d", t.ID().Key().Incarnation(), t.ID().Key().Sequence(), t.ID().Index(), t.Number())
+}
+
+func reportName(r hibiscusstate.Report) string {
+	switch r.Status() {
+	case hibiscusstate.StatusRejected:
+		return "rejected:" + r.Rejection().String()
+	case hibiscusstate.StatusDone:
+		return "done:" + r.Outcome().String()
+	case hibiscusstate.StatusNeverReceived, hibiscusstate.StatusWaiting, hibiscusstate.StatusRunning:
+	}
+	return r.Status().String()
+}
+
+// tryOf names a try of the first task of a job of entry 1.
+func tryOf(sequence uint64, number int) hibiscusstate.TaskTry {
+	return hibiscusstate.NewTaskTry(hibiscusstate.NewTaskID(hibiscusstate.NewSubmissionKey(1, sequence), 0), number)
+}
+
+func orderOf(sequence uint64, number int, lease uint64) []hibiscusstate.Order {
+	return []hibiscusstate.Order{
+		hibiscusstate.NewOrder(tryOf(sequence, number), 1, 7, "check", nil).WithBudget(5 * time.Second).WithLease(lease),
+	}
+}
+
+func waitingOrder(sequence uint64, lease uint64) []hibiscusstate.Order {
+	return []hibiscusstate.Order{orderOf(sequence, 0, lease)[0].WithWait(100 * time.Millisecond)}
+}
+
+// TestSlotKeeperRejections guards against a task that is started although its rejection was or will be reported, and against
+// a late order that starts: after a settlement, past a lease, under a sealed key, after a leave, with no time left.
+func TestSlotKeeperRejections(t *testing.T) {
+	s := newKeeperSession()
+	s.step(0, "an endpoint with one slot announces itself, entry 1 connects", func() {
+		s.SetEndpoint(s.now, "checks", 1)
+		s.EntryUp(s.now, 1)
+	})
+	s.step(0, "entry 1 settles a try that never arrived, then its order arrives after all", func() {
+		s.Settle(1, []hibiscusstate.TaskTry{tryOf(1, 0)})
+		s.Orders(s.now, 1, orderOf(1, 0, 1))
+	})
+	s.step(0, "the next try starts; the same order again and another try of it change nothing", func() {
+		s.Orders(s.now, 1, orderOf(1, 1, 1))
+		s.Orders(s.now, 1, orderOf(1, 1, 1))
+		s.Orders(s.now, 1, orderOf(1, 2, 1))
+	})
+	s.step(0, "the slot is taken: one order must not wait, one may", func() {
+		s.Orders(s.now, 1, orderOf(2, 0, 1))
+		s.Orders(s.now, 1, waitingOrder(3, 1))
+	})
+	s.step(100*time.Millisecond, "the waiting one has waited long enough", func() { s.Tick(s.now) })
+	s.step(0, "a waiting one is stopped, and the running one", func() {
+		s.Orders(s.now, 1, waitingOrder(4, 1))
+		s.Stop([]hibiscusstate.TaskTry{tryOf(4, 0), tryOf(1, 1)})
+	})
+	s.step(0, "the runner says that the endpoint did not take the running one", func() {
+		s.Finished(s.now, 0, NewNotRunResult(hibiscusstate.RejectionEndpointBusy))
+	})
+	s.step(2100*time.Millisecond, "entry 1 was silent past its lease: orders under the old epoch, then under the new one", func() {
+		s.Hear(s.now, 1)
+		s.Orders(s.now, 1, orderOf(5, 0, 1))
+		s.Orders(s.now, 1, orderOf(5, 1, 2))
+	})
+	s.step(0, "entry 2 recovers the job of 6, which waits: it is sealed, stays past its limit, and another order under it is not taken", func() {
+		s.EntryUp(s.now, 2)
+		s.Orders(s.now, 1, waitingOrder(6, 2))
+		s.Recover(2, 77, hibiscusstate.NewSubmissionKey(1, 6))
+		s.now = s.now.Add(time.Second)
+		s.Tick(s.now)
+		s.Hear(s.now, 1)
+		other := hibiscusstate.NewTaskTry(hibiscusstate.NewTaskID(hibiscusstate.NewSubmissionKey(1, 6), 1), 0)
+		s.Orders(s.now, 1, []hibiscusstate.Order{
+			hibiscusstate.NewOrder(other, 2, 7, "check", nil).WithBudget(time.Second).WithLease(2),
+		})
+	})
+	s.step(0, "the slot gets free and the sealed one runs; entry 2 hears of its end", func() {
+		s.Finished(s.now, 0, NewRunResult(hibiscusstate.OutcomeFinished, nil, ""))
+		s.Finished(s.now, 0, NewRunResult(hibiscusstate.OutcomeFinished, nil, ""))
+	})
+	s.step(0, "an order without time left, then the endpoint leaves with one running and one waiting", func() {
+		s.Orders(s.now, 1, []hibiscusstate.Order{orderOf(7, 0, 2)[0].WithBudget(0)})
+		s.Orders(s.now, 1, orderOf(8, 0, 2))
+		s.Orders(s.now, 1, waitingOrder(9, 2))
+		s.Leave()
+		s.Orders(s.now, 1, orderOf(10, 0, 2))
+		s.Acknowledge(1)
+		s.say("  acknowledged by all: %t", s.Acknowledged())
+		s.Acknowledge(2)
+		s.say("  acknowledged by all: %t", s.Acknowledged())
+	})
+	s.step(0, "the endpoint is gone", func() {
+		s.SetEndpoint(s.now, "checks", 0)
+		s.Orders(s.now, 1, orderOf(11, 0, 2))
+	})
+	s.step(2*time.Minute, "entry 1 has stayed away for two minutes and comes back: its epoch is a new one", func() {
+		s.EntryDown(1)
+		s.Finished(s.now, 0, NewRunResult(hibiscusstate.OutcomeFinished, nil, ""))
+		s.Tick(s.now)
+		s.say("  entries known: %d", len(s.entries))
+		s.EntryUp(s.now, 1)
+	})
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "slot_keeper_rejections", []byte(strings.Join(s.sorted(), "\n")+"\n"))
+}
+
+// sorted puts neighbouring capacity messages in the order of the entries; the keeper goes through a map of them.
+func (s *keeperSession) sorted() []string {
+	lines := slices.Clone(s.lines)
+	for i := 1; i < len(lines); i++ {
+		if strings.Contains(lines[i], "capacity") && strings.Contains(lines[i-1], "capacity") && lines[i] < lines[i-1] {
+			lines[i], lines[i-1] = lines[i-1], lines[i]
+		}
+	}
+	return lines
+}
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -280,8 +280,8 @@
 		for _, m := range e.memberList() {
 			members = append(members, MemberSnapshot{member: m, connected: true, self: m.incarnation == e.identity.incarnation})
 		}
-		for id, m := range e.members {
-			if e.peers[id] == nil && id != e.identity.incarnation {
+		for _, m := range e.members.all() {
+			if e.peers[m.incarnation] == nil && m.incarnation != e.identity.incarnation {
 				members = append(members, MemberSnapshot{member: m})
 			}
 		}
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -56,15 +56,16 @@
 	a.api.Mount(r)
 	auth := hibiscusprotocol.NewAdminAuth(a.settings.ViewerToken(), "")
 	hibiscusprotocol.NewAgentMetrics(a.duty, connector.Counters).MountAgent(r, auth, a.duty.Ready)
-	var duties sync.WaitGroup
+	var duties, links sync.WaitGroup
 	var httpErr error
 	duties.Go(a.duty.Run)
-	duties.Go(func() { connector.Reconcile(serving, a.wantedEntries) })
+	links.Go(func() { connector.Reconcile(serving, a.wantedEntries) })
 	duties.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, l, r, httpGrace) })
 
 	<-ctx.Done()
 	a.leave()
 	stopServing()
+	links.Wait()
 	a.duty.Stop()
 	duties.Wait()
 	a.log.Info("agent: stopped")
@@ -72,13 +73,12 @@
 }
 
 func (a *Agent) leave() {
-	if a.duty.Leave() != nil {
+	if a.duty.Drain() != nil {
 		return
 	}
-	for !a.duty.Idle() {
+	for !a.duty.Drained() {
 		time.Sleep(drainPoll)
 	}
-	a.duty.CloseSessions()
 }
 
 // wantedEntries returns the addresses of all entries that the agent has heard of.
--- a/hibiscusprocess/deployment_test.go
+++ b/hibiscusprocess/deployment_test.go
@@ -7,14 +7,19 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
+	"path"
 	"regexp"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
@@ -43,25 +48,33 @@
 )
 
 type deployment struct {
-	t       *testing.T
-	network *hibiscusstandin.MemoryNetwork
-	began   time.Time
-	mu      sync.Mutex
-	lines   []string
-	keys    map[string]string
-	nodes   map[string]*node
-	ctx     context.Context
-	stop    context.CancelFunc
-	duties  sync.WaitGroup
-	next    hibiscusstate.Incarnation
-	seeds   []string
+	t          *testing.T
+	network    *hibiscusstandin.MemoryNetwork
+	began      time.Time
+	mu         sync.Mutex
+	lines      []string
+	keys       map[string]string
+	nodes      map[string]*node
+	ctx        context.Context
+	stop       context.CancelFunc
+	duties     sync.WaitGroup
+	next       hibiscusstate.Incarnation
+	seeds      []string
+	seen       *observer
+	entries    []string
+	unanswered atomic.Int32
+	// sessions adds the opening and the loss of sessions to the transcript.
+	sessions atomic.Bool
+	quiet    atomic.Bool
 }
 
 // node is one process that a test can stop.
 type node struct {
 	stop     context.CancelFunc
 	done     chan struct{}
+	host     *hibiscusstandin.Host
 	entry    *Entry
+	agent    *Agent
 	endpoint *hibiscusstandin.Endpoint
 }
 
@@ -73,15 +86,34 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &deployment{
 		t: t, network: hibiscusstandin.NewMemoryNetwork(networkDelay), began: time.Now(), keys: map[string]string{},
-		nodes: map[string]*node{}, ctx: ctx, stop: stop,
+		nodes: map[string]*node{}, ctx: ctx, stop: stop, seen: newObserver(),
 	}
 }
 
+// tcp returns the network of a process that has no faults.
 func (d *deployment) tcp() hibiscustransport.Network {
 	return hibiscustransport.NewNetwork(d.network.Listen, d.network.Dial)
 }
 
-func (d *deployment) logger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+func (d *deployment) logger(name string) *slog.Logger {
+	return slog.New(slog.NewTextHandler(sessionLog{d: d, name: name}, nil))
+}
+
+// sessionLog puts a process's log lines about sessions into the transcript.
+type sessionLog struct {
+	d    *deployment
+	name string
+}
+
+var sessionLine = regexp.MustCompile(`msg="session: (peer [a-z]+)" role=(\w+) address=(\S+)`)
+
+func (l sessionLog) Write(b []byte) (int, error) {
+
+	if m := sessionLine.FindStringSubmatch(string(b)); m != nil && l.d.sessions.Load() {
+		l.d.note("process %s: %s: %s %s", l.name, m[1], m[2], m[3])
+	}
+	return len(b), nil
+}
 
 func (d *deployment) incarnation() hibiscusstate.Incarnation {
 	d.next++
@@ -97,9 +129,13 @@
 	d.must(err)
 	document, err := hibiscusprotocol.ParseText("test", []byte(testText))
 	d.must(err)
-	e := NewEntry(settings, d.incarnation(), d.tcp(), d.logger())
-	n := d.run(name, e.Run)
+	host := d.network.Host()
+	e := NewEntry(settings, d.incarnation(), hibiscustransport.NewNetwork(host.Listen, host.Dial), d.logger(name))
+	n := d.run(name, host, e.Run)
+	d.mu.Lock()
 	n.entry = e
+	d.entries = append(slices.DeleteFunc(d.entries, func(other string) bool { return other == name }), name)
+	d.mu.Unlock()
 	d.must(e.Duty().Configure(hibiscusstate.NewConfiguration(1, testText, document)))
 }
 
@@ -109,20 +145,33 @@
 		"endpoint_address: %s:7300\nfailure_domain: a\nshared_key: %s\nseed_entries: [%s]\n",
 		name, testSecret, strings.Join(d.seeds, ", ")))
 	d.must(err)
-	d.run(name, NewAgent(settings, d.incarnation(), d.tcp(), d.logger()).Run)
-	l, err := d.network.Listen(name + ":7400")
+	host := d.network.Host()
+	a := NewAgent(settings, d.incarnation(), hibiscustransport.NewNetwork(host.Listen, host.Dial), d.logger(name))
+	d.run(name, host, a.Run).agent = a
+	d.startEndpoint(name, slots)
+}
+
+// startEndpoint starts the endpoint of a worker.
+func (d *deployment) startEndpoint(name string, slots int) {
+	host := d.network.Host()
+	l, err := host.Listen(name + ":7400")
 	d.must(err)
 	endpoint := hibiscusstandin.NewEndpoint("sighting", name+":7400", name+":7300", slots, 50*time.Millisecond).
-		WithDial(d.network.Dial).
-		WithObserver(func(id, kind, what string) { d.note("endpoint %s: %s %s %s", name, what, kind, d.taskName(id)) })
-	n := d.run(name+"/endpoint", func(ctx context.Context) error { return endpoint.Serve(ctx, l) })
+		WithDial(host.Dial).
+		WithObserver(func(id, kind, what string) {
+			d.seen.endpoint(name, slots, id, what)
+			d.note("endpoint %s: %s %s %s", name, what, kind, d.taskName(id))
+		})
+	n := d.run(name+"/endpoint", host, func(ctx context.Context) error { return endpoint.Serve(ctx, l) })
 	n.endpoint = endpoint
 }
 
-func (d *deployment) run(name string, f func(ctx context.Context) error) *node {
+func (d *deployment) run(name string, host *hibiscusstandin.Host, f func(ctx context.Context) error) *node {
 	ctx, stop := context.WithCancel(d.ctx)
-	n := &node{stop: stop, done: make(chan struct{})}
+	n := &node{stop: stop, done: make(chan struct{}), host: host}
+	d.mu.Lock()
 	d.nodes[name] = n
+	d.mu.Unlock()
 	d.duties.Go(func() {
 		defer close(n.done)
 		if err := f(ctx); err != nil && ctx.Err() == nil {
@@ -132,6 +181,26 @@
 	return n
 }
 
+// kill ends processes hard: connections are cut, nothing is flushed.
+func (d *deployment) kill(names ...string) {
+	for _, name := range names {
+		d.note("%s is killed", name)
+		d.nodes[name].host.Kill()
+		d.nodes[name].stop()
+	}
+}
+
+// cutEntries cuts the sessions between two entries.
+func (d *deployment) cutEntries(a, b string) { d.network.Part(d.nodes[a].host, d.nodes[b].host) }
+
+// terminate stops a process like SIGTERM and waits for its end.
+func (d *deployment) terminate(name string) {
+	d.note("%s is asked to stop", name)
+	d.nodes[name].stop()
+	<-d.nodes[name].done
+	d.note("%s has stopped", name)
+}
+
 func (d *deployment) must(err error) {
 	d.t.Helper()
 	if err != nil {
@@ -141,6 +210,9 @@
 
 // note adds a line with the time since the start to the transcript.
 func (d *deployment) note(format string, args ...any) {
+	if d.quiet.Load() && !strings.HasPrefix(format, "process") {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	line := fmt.Sprintf(format, args...)
@@ -168,7 +240,10 @@
 // key gets a submission key from an entry; it appears in the transcript under its name.
 func (d *deployment) key(entry, name string) string {
 	response, err := d.client().Post("http://"+entry+":7100/v1/keys", "application/json", strings.NewReader(`{"count": 1}`))
-	d.must(err)
+	if err != nil {
+		d.unanswered.Add(1)
+		return ""
+	}
 	defer response.Body.Close()
 	var keys struct {
 		SubmissionKeys []string `json:"submission_keys"`
@@ -194,6 +269,7 @@
 func (d *deployment) do(caller string, request *http.Request) string {
 	response, err := d.client().Do(request)
 	if err != nil {
+		d.unanswered.Add(1)
 		d.note("%s <- no answer", caller)
 		return ""
 	}
@@ -204,14 +280,133 @@
 		return ""
 	}
 	answer := strings.TrimSpace(string(raw))
+	d.seen.answer(answer, d.submittedKey(request))
 	d.note("%s <- %d %s", caller, response.StatusCode, volatilePattern.ReplaceAllString(answer, `"..."`))
 	return answer
 }
 
-// close stops all processes.
+// submittedKey returns the key that a request is about.
+func (d *deployment) submittedKey(request *http.Request) string {
+	if key := request.Header.Get("Idempotency-Key"); key != "" {
+		return key
+	}
+	return path.Base(request.URL.Path)
+}
+
+// fetch asks for the answer of an earlier submission, and cancel gives it up.
+func (d *deployment) fetch(caller, entry, key string) string {
+	return d.about(http.MethodGet, caller, entry, key, "fetch")
+}
+
+func (d *deployment) cancel(caller, entry, key string) string {
+	return d.about(http.MethodDelete, caller, entry, key, "cancel")
+}
+
+func (d *deployment) about(method, caller, entry, key, what string) string {
+	d.note("%s -> entry %s: %s %s", caller, entry, what, key)
+	request, err := http.NewRequest(method, "http://"+entry+":7100/v1/jobs/"+key, nil)
+	d.must(err)
+	return d.do(caller, request)
+}
+
+// nextKey returns the fresh key that came with an answer.
+func (d *deployment) nextKey(answer string) string {
+	var body struct {
+		NextKey string `json:"next_key"`
+	}
+	d.must(json.Unmarshal([]byte(answer), &body))
+	return body.NextKey
+}
+
+// quietly keeps what callers and endpoints do out of the transcript.
+func (d *deployment) quietly(f func() string) string {
+	d.quiet.Store(true)
+	defer d.quiet.Store(false)
+	return f()
+}
+
+// also runs something beside the test, like another caller; wait waits for it.
+func (d *deployment) also(f func()) (wait func()) {
+	done := make(chan struct{})
+	d.duties.Go(func() {
+		defer close(done)
+		f()
+	})
+	return func() { <-done }
+}
+
+// close stops all processes and checks what the observer saw.
 func (d *deployment) close() {
+	d.sessions.Store(false)
 	d.stop()
 	d.duties.Wait()
+	for _, fault := range d.seen.faults() {
+		d.t.Error(fault)
+	}
+}
+
+var (
+	endpointLine = regexp.MustCompile(`^(endpoint) \S+: (.*)\.\d+$`)
+	tasksPattern = regexp.MustCompile(`"tasks":\[.*\]`)
+	outcomeField = regexp.MustCompile(`"outcome":"(\w+)"`)
+)
+
+// merge leaves out of the transcript what is open in a session with failures: which worker gets which task, and times below
+// a tenth of a second. Lines that are equal then are counted, and the outcomes in an answer too. The observer has checked
+// each task before.
+func (d *deployment) merge() {
+	merged := []string{}
+	counts := map[string]int{}
+	for _, line := range d.lines {
+		at, text, _ := strings.Cut(strings.TrimSpace(line), " ms  ")
+		ms, err := strconv.ParseFloat(at, 64)
+		if err != nil {
+			merged = append(merged, line)
+			continue
+		}
+		text = endpointLine.ReplaceAllString(text, "${1}s: $2")
+		text = tasksPattern.ReplaceAllStringFunc(text, func(tasks string) string {
+			outcomes := map[string]int{}
+			for _, m := range outcomeField.FindAllStringSubmatch(tasks, -1) {
+				outcomes[m[1]]++
+			}
+			return strings.TrimSuffix(strings.TrimPrefix(fmt.Sprint(outcomes), "map["), "]")
+		})
+		line = fmt.Sprintf("%7.1f s  %s", math.Floor(ms/100)/10, text)
+		if counts[line]++; counts[line] == 1 {
+			merged = append(merged, line)
+		}
+	}
+	for i, line := range merged {
+		if counts[line] > 1 {
+			merged[i] = fmt.Sprintf("%s (%d times)", line, counts[line])
+		}
+	}
+	d.lines = merged
+}
+
+// startPairs starts entries 10.0.1.1 and on, and workers with two slots 10.0.2.1 and on, and lets them find each other.
+func (d *deployment) startPairs(entries, workers int) {
+	for i := range entries {
+		d.startEntry(fmt.Sprintf("10.0.1.%d", i+1))
+	}
+	for i := range workers {
+		d.startWorker(fmt.Sprintf("10.0.2.%d", i+1), 2)
+	}
+	time.Sleep(settleTime)
+}
+
+// play runs a session of two entries and two workers with two slots each, and compares its transcript with a golden file.
+func play(t *testing.T, name string, session func(d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startPairs(2, 2)
+		session(d)
+		d.close()
+		d.merge()
+		d.golden(name)
+	})
 }
 
 // golden compares the transcript with a golden file; lines of the same moment are sorted, because their order is open.
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,20 +77,19 @@
 	defer stopSessions()
 	connector := hibiscustransport.NewConnector(e.network, e.settings.Secret(), hibiscustransport.NewSessionHandlers(
 		e.duty.Hello, e.duty.PeerUp, e.duty.PeerMessage, e.duty.PeerDown), e.log)
-	var duties sync.WaitGroup
+	var duties, links, callersServed sync.WaitGroup
 	var httpErr error
 	duties.Go(e.duty.Run)
-	duties.Go(func() { connector.Accept(linked, sessions) })
-	duties.Go(func() { connector.Reconcile(linked, e.wantedPeers) })
-	duties.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, callers, e.router(connector), httpGrace) })
+	links.Go(func() { connector.Accept(linked, sessions) })
+	links.Go(func() { connector.Reconcile(linked, e.wantedPeers) })
+	callersServed.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, callers, e.router(connector), httpGrace) })
 
 	<-ctx.Done()
 	e.drain()
 	stopServing()
-	for !e.duty.Idle() {
-		time.Sleep(drainPoll)
-	}
+	callersServed.Wait()
 	stopSessions()
+	links.Wait()
 	e.duty.Stop()
 	duties.Wait()
 	e.log.Info("entry: stopped")
@@ -125,6 +125,7 @@
 
 func (e *Entry) router(connector *hibiscustransport.Connector) chi.Router {
 	r := chi.NewRouter()
+	r.Use(e.endConnections)
 	signer := hibiscusstate.NewKeySigner(e.settings.Secret())
 	hibiscusprotocol.NewCallerAPI(signer, e.duty.Submit, e.duty.IssueKeys, e.ready).Mount(r)
 	auth := hibiscusprotocol.NewAdminAuth(e.settings.ViewerToken(), e.settings.OperatorToken())
@@ -134,6 +135,17 @@
 	return r
 }
 
+// endConnections makes callers open their next connection elsewhere while the entry stops, so that few connections are
+// open when the server closes them: a request that crosses with the close gets no answer.
+func (e *Entry) endConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // wantedPeers returns the addresses of the other entries.
 func (e *Entry) wantedPeers() []string {
 	addresses := map[string]bool{}
--- /dev/null
+++ b/hibiscusprocess/not_run_test.go
@@ -0,0 +1,111 @@
+package hibiscusprocess
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusstate"
+)
+
+// What is told not to have run must not have run. In each of these sessions the observer compares the word with the starts
+// that the endpoints saw.
+
+// TestNotRun guards against a task that is told not run and was started, on each way that says so to a caller: the deadline
+// passed in the queue, the endpoint says so, the endpoint refuses the connection, the entry drains; and against the opposite,
+// a lost connection to an endpoint that is told not run although the request was written.
+func TestNotRun(t *testing.T) {
+	play(t, "not_run", func(d *deployment) {
+		d.submit("deadline", "10.0.1.1", d.key("10.0.1.1", "key-1"), `{"deadline_ms":700,`+syncs(12, 500)[1:])
+		time.Sleep(time.Second)
+		busy := `{"team":"nokkhao","service":"sighting","tasks":[{"kind":"list_sync","payload":{"behavior":"not_run"}}]}`
+		d.submit("endpoint busy", "10.0.1.1", d.key("10.0.1.1", "key-2"), busy)
+		lost := d.also(func() { d.submit("endpoint lost", "10.0.1.1", d.key("10.0.1.1", "key-3"), syncs(4, 400)) })
+		time.Sleep(50 * time.Millisecond)
+		d.kill("10.0.2.1/endpoint")
+		lost()
+		d.submit("endpoint refuses", "10.0.1.1", d.key("10.0.1.1", "key-4"), syncs(2, 50))
+		key := d.key("10.0.1.1", "key-5")
+		d.also(func() { d.submit("before the stop", "10.0.1.1", d.key("10.0.1.1", "key-6"), syncs(1, 3000)) })
+		time.Sleep(50 * time.Millisecond)
+		stopped := d.also(func() { d.terminate("10.0.1.1") })
+		time.Sleep(2100 * time.Millisecond)
+		d.submit("draining", "10.0.1.1", key, syncs(1, 50))
+		stopped()
+		d.kill("10.0.2.2/endpoint")
+		time.Sleep(4 * time.Second)
+		d.submit("no workers", "10.0.1.2", d.key("10.0.1.2", "key-7"), syncs(1, 50))
+	})
+}
+
+// TestCancel guards against queued tasks that start after their job was cancelled, running ones that are not stopped, also
+// when the session to their agent was lost at that moment, and finished ones whose answer changes.
+func TestCancel(t *testing.T) {
+	play(t, "cancel", func(d *deployment) {
+		key := d.key("10.0.1.1", "key-1")
+		first := d.also(func() { d.submit("caller", "10.0.1.1", key, syncs(12, 1000)) })
+		time.Sleep(50 * time.Millisecond)
+		d.cancel("canceller", "10.0.1.2", key)
+		first()
+		key = d.key("10.0.1.1", "key-2")
+		d.submit("caller", "10.0.1.1", key, syncs(2, 100))
+		d.cancel("canceller", "10.0.1.1", key)
+		d.cancel("canceller", "10.0.1.1", d.key("10.0.1.1", "key-3"))
+		key = d.key("10.0.1.1", "key-4")
+		first = d.also(func() { d.submit("caller", "10.0.1.1", key, syncs(2, 4000)) })
+		time.Sleep(50 * time.Millisecond)
+		d.network.Cut("10.0.1.1:7200")
+		time.Sleep(10 * time.Millisecond)
+		d.cancel("canceller", "10.0.1.1", key)
+		first()
+	})
+}
+
+// TestCancelWave guards against queued tasks that start after a wave of 10,000 cancellations, and against answers that say
+// not run of tasks that were started.
+func TestCancelWave(t *testing.T) {
+	const jobs = 10_000
+	states := map[hibiscusstate.JobState]int{}
+	wrong := 0
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startPairs(1, 2)
+		duty := d.nodes["10.0.1.1"].entry.Duty()
+		keys, err := duty.IssueKeys(jobs)
+		d.must(err)
+		d.quiet.Store(true)
+		answers := make(chan *hibiscuscoordination.Answer, 2*jobs)
+		reply := func(a *hibiscuscoordination.Answer) { answers <- a }
+		task := []hibiscusstate.TaskSpec{hibiscusstate.NewTaskSpec("list_sync", []byte(`{"run_ms":100}`), 0)}
+		for _, key := range keys {
+			d.must(duty.Submit(hibiscuscoordination.NewSubmission(key, 1, "nokkhao", "sighting", task).WithBudget(time.Hour), reply))
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, key := range keys {
+			d.must(duty.Submit(hibiscuscoordination.NewCancel(key).WithWait(time.Minute), reply))
+		}
+		time.Sleep(time.Second)
+		d.close()
+		close(answers)
+		for a := range answers {
+			states[a.State()]++
+			started := false
+			if len(a.Tasks()) == 1 {
+				started = d.seen.starts[fmt.Sprintf("%s-%x-0", a.Key().Incarnation(), a.Key().Sequence())] > 0
+			}
+			if started && a.Tasks()[0].Outcome() == hibiscusstate.OutcomeNotRun {
+				wrong++
+			}
+		}
+	})
+	convey.Convey("each submission and each cancellation has one answer, and none is wrong", t, func() {
+		convey.So(states[hibiscusstate.JobRunning], convey.ShouldEqual, jobs)
+		convey.So(states[hibiscusstate.JobCancelled]+states[hibiscusstate.JobComplete], convey.ShouldEqual, jobs)
+		convey.So(states[hibiscusstate.JobCancelled], convey.ShouldBeGreaterThan, jobs-100)
+		convey.So(wrong, convey.ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/hibiscusprocess/observer_test.go
@@ -0,0 +1,155 @@
+package hibiscusprocess
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// The observer checks the promises from outside: it sees only which tasks endpoints start and which answers callers get.
+
+type observer struct {
+	mu      sync.Mutex
+	starts  map[string]int
+	running map[string]int
+	overrun []string
+	answers map[string][]seenAnswer
+}
+
+// seenAnswer is the body of an answer, of a job or of a refusal.
+type seenAnswer struct {
+	State string `json:"state"`
+	Tasks []struct {
+		Outcome string          `json:"outcome"`
+		Output  json.RawMessage `json:"output"`
+	} `json:"tasks"`
+	Error struct {
+		Code string `json:"code"`
+		Run  string `json:"run"`
+	} `json:"error"`
+}
+
+func newObserver() *observer {
+	return &observer{starts: map[string]int{}, running: map[string]int{}, answers: map[string][]seenAnswer{}}
+}
+
+func (o *observer) endpoint(name string, slots int, taskID, what string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if what != "started" {
+		o.running[name]--
+		return
+	}
+	o.starts[taskID]++
+	if o.running[name]++; o.running[name] > slots {
+		o.overrun = append(o.overrun, fmt.Sprintf("endpoint %s has %d tasks in %d slots", name, o.running[name], slots))
+	}
+}
+
+func (o *observer) answer(body, key string) {
+	var a seenAnswer
+	if json.Unmarshal([]byte(body), &a) != nil {
+		a.Error.Code = "not JSON: " + body
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.answers[key] = append(o.answers[key], a)
+}
+
+// counts returns how many answers there were of each kind.
+func (o *observer) counts() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	counts := map[string]int{}
+	for _, answers := range o.answers {
+		for _, a := range answers {
+			if a.Error.Code != "" {
+				counts["refused "+a.Error.Code+", "+a.Error.Run]++
+			} else {
+				counts["job "+a.State]++
+			}
+			for _, t := range a.Tasks {
+				counts["task "+t.Outcome]++
+			}
+		}
+	}
+	return counts
+}
+
+// faults returns one sentence for each broken promise.
+func (o *observer) faults() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	faults := slices.Clone(o.overrun)
+	for id, n := range o.starts {
+		if n > 1 {
+			faults = append(faults, fmt.Sprintf("task %s was started %d times", id, n))
+		}
+	}
+	for key, answers := range o.answers {
+		finals := map[int]string{}
+		for _, a := range answers {
+			faults = append(faults, o.judge(key, a, finals)...)
+		}
+	}
+	slices.Sort(faults)
+	return faults
+}
+
+// judge checks one answer; finals has what earlier answers for the key said for certain about each task.
+func (o *observer) judge(key string, a seenAnswer, finals map[int]string) []string {
+	faults := []string{}
+	fault := func(format string, args ...any) {
+		faults = append(faults, "key "+key+": "+fmt.Sprintf(format, args...))
+	}
+	if strings.HasPrefix(a.Error.Code, "not JSON") {
+		fault("answer is %s", a.Error.Code)
+	}
+	if a.Error.Run == "not_run" && a.Error.Code != "key_reused" && o.startsUnder(key) > 0 {
+		fault("refused %s as not run, but %d tasks were started", a.Error.Code, o.startsUnder(key))
+	}
+	if a.State == "running" && len(a.Tasks) > 0 {
+		fault("a running job tells outcomes")
+	}
+	for i, t := range a.Tasks {
+		if a.State == "complete" && t.Outcome != "finished" {
+			fault("task %d of a complete job is %s", i, t.Outcome)
+		}
+		if t.Outcome == "not_run" && o.starts[taskIDOf(key, i)] > 0 {
+			fault("task %d is told not run, but it was started", i)
+		}
+		if t.Outcome == "finished" && o.starts[taskIDOf(key, i)] == 0 {
+			fault("task %d is told finished, but it was never started", i)
+		}
+		if t.Outcome == "may_have_run" || t.Outcome == "" {
+			continue
+		}
+		said := t.Outcome + " " + string(t.Output)
+		if finals[i] != "" && finals[i] != said {
+			fault("task %d is told %q and %q", i, finals[i], said)
+		}
+		finals[i] = said
+	}
+	return faults
+}
+
+func (o *observer) startsUnder(key string) int {
+	n := 0
+	for id, starts := range o.starts {
+		if strings.HasPrefix(id, strings.TrimSuffix(taskIDOf(key, 0), "0")) {
+			n += starts
+		}
+	}
+	return n
+}
+
+// taskIDOf returns the id that endpoints see for a task of a key like hr1-INCARNATION-SEQUENCE-MAC.
+func taskIDOf(key string, index int) string {
+	parts := strings.Split(key, "-")
+	if len(parts) != 4 {
+		return "no key"
+	}
+	return fmt.Sprintf("%s-%s-%d", parts[1], parts[2], index)
+}
--- /dev/null
+++ b/hibiscusprocess/stop_test.go
@@ -0,0 +1,144 @@
+package hibiscusprocess
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// Planned stops under steady load. Callers behave like ones behind a balancer: each sends one job after the other to an
+// entry that is ready. Without the flush of sessions, the acknowledgement of a leave, or the drain, jobs fail here.
+
+const loadCallers = 6
+
+// steadyLoad keeps callers busy until stop is called; stop waits for their last answers.
+func (d *deployment) steadyLoad() (stop func()) {
+	var stopped atomic.Bool
+	waits := make([]func(), loadCallers)
+	for i := range waits {
+		waits[i] = d.also(func() {
+			for n := i; !stopped.Load(); n++ {
+				entry := d.readyEntry(n)
+				d.submit(fmt.Sprintf("caller %d", i), entry, d.key(entry, "key"), syncs(1+n%3, 20+10*(n%7)))
+			}
+		})
+	}
+	return func() {
+		stopped.Store(true)
+		for _, wait := range waits {
+			wait()
+		}
+	}
+}
+
+// readyEntry returns the n-th entry that is ready, as a balancer would.
+func (d *deployment) readyEntry(n int) string {
+	for ; ; n++ {
+		d.mu.Lock()
+		name := d.entries[n%len(d.entries)]
+		e := d.nodes[name].entry
+		d.mu.Unlock()
+		if e.ready() {
+			return name
+		}
+	}
+}
+
+// underLoad runs steps under load and requires that every job is complete.
+func underLoad(t *testing.T, steps func(d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startPairs(2, 3)
+		stop := d.steadyLoad()
+		time.Sleep(500 * time.Millisecond)
+		steps(d)
+		time.Sleep(500 * time.Millisecond)
+		stop()
+		d.close()
+		counts := d.seen.counts()
+		complete := counts["job complete"]
+		delete(counts, "job complete")
+		delete(counts, "task finished")
+		convey.Convey("every job is complete", t, func() {
+			convey.So(complete, convey.ShouldBeGreaterThan, 50)
+			convey.So(counts, convey.ShouldResemble, map[string]int{})
+			convey.So(d.unanswered.Load(), convey.ShouldEqual, 0)
+		})
+	})
+}
+
+// TestStopEndpoint guards against tasks that are cut or doubled when endpoints leave by DELETE and end, one after the other.
+func TestStopEndpoint(t *testing.T) {
+	underLoad(t, func(d *deployment) {
+		for _, name := range []string{"10.0.2.1", "10.0.2.2"} {
+			d.terminate(name + "/endpoint")
+			time.Sleep(300 * time.Millisecond)
+			d.startEndpoint(name, 2)
+			time.Sleep(1200 * time.Millisecond)
+		}
+	})
+}
+
+// TestStopAgent guards against results that are lost with the sessions of a stopping agent, orders that cross with its
+// leave, and an announcement of its endpoint that brings it back; each agent is replaced at its address.
+func TestStopAgent(t *testing.T) {
+	underLoad(t, func(d *deployment) {
+		for _, name := range []string{"10.0.2.1", "10.0.2.2", "10.0.2.3"} {
+			d.terminate(name)
+			d.terminate(name + "/endpoint")
+			d.startWorker(name, 2)
+			time.Sleep(1500 * time.Millisecond)
+		}
+	})
+}
+
+// TestStopEntry guards against jobs that are cut or refused when an entry is stopped before its balancer knows, and against
+// agents that do not find its replacement; all entries are replaced, at the same and at other addresses.
+func TestStopEntry(t *testing.T) {
+	underLoad(t, func(d *deployment) {
+		d.terminate("10.0.1.1")
+		d.startEntry("10.0.1.1")
+		time.Sleep(settleTime)
+		d.terminate("10.0.1.2")
+		d.startEntry("10.0.1.3")
+		time.Sleep(settleTime)
+	})
+}
+
+// TestStopForgotten guards against members that are gone for good but stay in the memory of agents and entries: twenty
+// entries and agents come and go at new addresses.
+func TestStopForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startPairs(1, 1)
+		for i := range 20 {
+			d.startEntry(fmt.Sprintf("10.0.3.%d", i+1))
+			d.seeds = d.seeds[:1]
+			d.startWorker(fmt.Sprintf("10.0.4.%d", i+1), 2)
+			time.Sleep(settleTime)
+			entry := fmt.Sprintf("10.0.3.%d", i+1)
+			d.submit("caller", entry, d.key(entry, "key"), syncs(4, 20))
+			d.kill(entry, fmt.Sprintf("10.0.4.%d", i+1), fmt.Sprintf("10.0.4.%d/endpoint", i+1))
+		}
+		time.Sleep(12 * time.Minute)
+		entries, err := d.nodes["10.0.1.1"].entry.Duty().Members()
+		d.must(err)
+		agent := d.nodes["10.0.2.1"].agent.duty
+		members, err := agent.Members()
+		d.must(err)
+		known, err := agent.KnownEntries()
+		d.must(err)
+		d.close()
+		convey.Convey("only the live entry is known", t, func() {
+			convey.So(len(entries), convey.ShouldEqual, 1)
+			convey.So(len(members), convey.ShouldBeLessThanOrEqualTo, 2)
+			convey.So(known, convey.ShouldEqual, 1)
+			convey.So(d.seen.counts()["job complete"], convey.ShouldEqual, 20)
+		})
+	})
+}
--- a/hibiscusprotocol/caller_http.go
+++ b/hibiscusprotocol/caller_http.go
@@ -31,8 +31,9 @@
 	// maxWait bounds how long a request waits for an answer; the caller may ask again.
 	maxWait = 5 * time.Minute
 	// stateWait is how long the dispatch duty may take to say the state of a job after the caller's wait is over; a forward
-	// to another entry needs a round trip, and a recovery from the agents a second.
-	stateWait = 1500 * time.Millisecond
+	// to another entry needs a round trip. A recovery from the agents needs a second until the entry counts as gone, and
+	// a second for their answers.
+	stateWait = 2500 * time.Millisecond
 	// keyHeader carries the submission key.
 	keyHeader = "Idempotency-Key"
 )
--- a/hibiscusstandin/endpoint.go
+++ b/hibiscusstandin/endpoint.go
@@ -22,6 +22,9 @@
 // announceEvery is how often the endpoint repeats its announcement.
 const announceEvery = time.Second
 
+// leaveGrace is how long the endpoint still takes connections after it has left, for a task that was handed out just before.
+const leaveGrace = 200 * time.Millisecond
+
 // Endpoint is the stand-in; it is safe for concurrent use.
 type Endpoint struct {
 	service     string
@@ -148,6 +151,7 @@
 			e.announce(client)
 		case <-ctx.Done():
 			e.say(client, http.MethodDelete, nil)
+			time.Sleep(leaveGrace)
 			client.CloseIdleConnections()
 			return server.Shutdown(context.WithoutCancel(ctx))
 		}
--- a/hibiscusstandin/network.go
+++ b/hibiscusstandin/network.go
@@ -9,8 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MemoryNetwork joins processes in one test by pipes in memory, whose bytes can be held back in either direction while
-// both ends stay open, or whose connections can be cut. Connections made after a fault work.
+// MemoryNetwork joins processes in one test by pipes in memory. Faults come in two kinds: those of connections (Silence,
+// Cut, Block), after which new connections work, and those of a Host (Kill, Freeze), which is all that one run of a process
+// has open.
 
 // ErrRefused says that nobody listens on an address.
 var ErrRefused = errors.New("connection refused")
@@ -22,35 +23,61 @@
 	links     []*link
 	blocked   map[string]bool
 	delay     time.Duration
+	outside   *Host
 }
 
 // NewMemoryNetwork returns a network without listeners whose bytes arrive after delay.
 func NewMemoryNetwork(delay time.Duration) *MemoryNetwork {
-	return &MemoryNetwork{listeners: map[string]*memoryListener{}, blocked: map[string]bool{}, delay: delay}
+	n := &MemoryNetwork{listeners: map[string]*memoryListener{}, blocked: map[string]bool{}, delay: delay}
+	n.outside = n.Host()
+	return n
 }
 
-// Listen opens a listener on an address.
+// Listen opens a listener of a process that has no faults.
 func (n *MemoryNetwork) Listen(address string) (net.Listener, error) {
+	return n.outside.Listen(address)
+}
+
+// Dial opens a connection of a process that has no faults.
+func (n *MemoryNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return n.outside.Dial(ctx, address)
+}
+
+// Host is the network as one run of one process sees it; a replacement of the process gets its own.
+type Host struct {
+	network *MemoryNetwork
+	dead    bool
+	frozen  bool
+}
+
+// Host returns the view of a process that starts now.
+func (n *MemoryNetwork) Host() *Host { return &Host{network: n} }
+
+// Listen opens a listener on an address.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	n := h.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners[address] != nil {
 		return nil, errors.Newf("address %s is in use", address)
 	}
-	l := &memoryListener{network: n, address: memoryAddress(address), accept: make(chan net.Conn, 64), done: make(chan struct{})}
+	l := &memoryListener{host: h, address: memoryAddress(address), accept: make(chan net.Conn, 64), done: make(chan struct{})}
 	n.listeners[address] = l
 	return l, nil
 }
 
 // Dial opens a connection to an address; a refusal is a *net.OpError of a dial, like that of the system.
-func (n *MemoryNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n := h.network
 	n.mu.Lock()
 	l := n.listeners[address]
-	if l == nil || n.blocked[address] {
+	if l == nil || n.blocked[address] || h.dead || l.host.dead {
 		n.mu.Unlock()
 		return nil, &net.OpError{Op: "dial", Net: "memory", Addr: memoryAddress(address), Err: ErrRefused}
 	}
-	k := &link{address: address}
+	k := &link{address: address, dialer: h, listener: l.host}
 	dialerEnd, listenerEnd := k.open(memoryAddress(address), n.delay)
+	k.hold()
 	n.links = append(n.links, k)
 	n.mu.Unlock()
 	select {
@@ -62,18 +89,47 @@
 	return nil, &net.OpError{Op: "dial", Net: "memory", Addr: memoryAddress(address), Err: ErrRefused}
 }
 
-// Silence holds back all bytes of the open connections to an address, from now on and for good, in the given directions;
-// the connections stay open.
+// Kill ends a process hard as the others see it: its connections are cut with what is in them, and it opens no new ones.
+func (h *Host) Kill() {
+	n := h.network
+	n.mu.Lock()
+	h.dead = true
+	for address, l := range n.listeners {
+		if l.host == h {
+			delete(n.listeners, address)
+		}
+	}
+	n.mu.Unlock()
+	n.each(func(k *link) bool { return k.dialer == h || k.listener == h }, func(k *link) { k.cut() })
+}
+
+// Freeze holds back everything that the process sends and receives, like a pause of the process, until frozen is false;
+// nothing is lost.
+func (h *Host) Freeze(frozen bool) {
+	n := h.network
+	n.mu.Lock()
+	h.frozen = frozen
+	n.mu.Unlock()
+	n.each(func(k *link) bool { return k.dialer == h || k.listener == h }, func(k *link) { k.hold() })
+}
+
+// Silence drops all bytes of the open connections to an address, from now on and for good, in the given directions; the
+// connections stay open.
 func (n *MemoryNetwork) Silence(address string, toListener, toDialer bool) {
-	n.each(address, func(k *link) {
+	n.to(address, func(k *link) {
 		k.up.silent.Store(k.up.silent.Load() || toListener)
 		k.down.silent.Store(k.down.silent.Load() || toDialer)
 	})
 }
 
-// Cut closes the open connections to an address.
-func (n *MemoryNetwork) Cut(address string) {
-	n.each(address, func(k *link) { k.cut() })
+// Cut closes the open connections to an address; what is in them is lost.
+func (n *MemoryNetwork) Cut(address string) { n.to(address, func(k *link) { k.cut() }) }
+
+// Part cuts the open connections between two processes.
+func (n *MemoryNetwork) Part(a, b *Host) {
+	n.each(func(k *link) bool {
+		return k.dialer == a && k.listener == b || k.dialer == b && k.listener == a
+	}, func(k *link) { k.cut() })
 }
 
 // Block refuses new connections to an address, or allows them again.
@@ -83,12 +139,16 @@
 	n.blocked[address] = blocked
 }
 
-func (n *MemoryNetwork) each(address string, f func(*link)) {
+func (n *MemoryNetwork) to(address string, f func(*link)) {
+	n.each(func(k *link) bool { return k.address == address }, f)
+}
+
+func (n *MemoryNetwork) each(chosen func(*link) bool, f func(*link)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	kept := n.links[:0]
 	for _, k := range n.links {
-		if k.address == address {
+		if chosen(k) {
 			f(k)
 		}
 		if !k.closed() {
@@ -107,7 +167,7 @@
 func (a memoryAddress) String() string { return string(a) }
 
 type memoryListener struct {
-	network *MemoryNetwork
+	host    *Host
 	address memoryAddress
 	accept  chan net.Conn
 	done    chan struct{}
@@ -128,9 +188,12 @@
 func (l *memoryListener) Close() error {
 	l.once.Do(func() {
 		close(l.done)
-		l.network.mu.Lock()
-		delete(l.network.listeners, string(l.address))
-		l.network.mu.Unlock()
+		n := l.host.network
+		n.mu.Lock()
+		if n.listeners[string(l.address)] == l {
+			delete(n.listeners, string(l.address))
+		}
+		n.mu.Unlock()
 	})
 	return nil
 }
--- a/hibiscusstandin/pipe.go
+++ b/hibiscusstandin/pipe.go
@@ -10,7 +10,7 @@
 )
 
 // A pipe carries the bytes of one direction of a connection: it buffers them, delivers them after a delay, and can swallow
-// them while the connection stays open. net.Pipe has no buffer, so that two ends that both write would wait for each
+// them or hold them back while the connection stays open. net.Pipe has no buffer, so that two ends that both write would wait for each
 // other, which TCP does not do.
 
 const pipeBytes = 1 << 20
@@ -20,6 +20,8 @@
 	chunks   []chunk
 	bytes    int
 	closed   bool
+	cut      bool
+	held     bool
 	delay    time.Duration
 	silent   atomic.Bool
 	changed  chan struct{}
@@ -75,7 +77,11 @@
 		if !p.deadline.IsZero() {
 			wait = p.deadline.Sub(now)
 		}
-		if len(p.chunks) > 0 && !p.silent.Load() {
+		if p.cut {
+			p.mu.Unlock()
+			return 0, io.EOF
+		}
+		if len(p.chunks) > 0 && !p.silent.Load() && !p.held {
 			first := &p.chunks[0]
 			if !now.Before(first.due) {
 				n := copy(b, first.data)
@@ -91,7 +97,7 @@
 			if until := first.due.Sub(now); wait < 0 || until < wait {
 				wait = until
 			}
-		} else if p.closed {
+		} else if p.closed && !p.held {
 			p.mu.Unlock()
 			return 0, io.EOF
 		}
@@ -123,6 +129,25 @@
 	}
 }
 
+// drop closes the pipe and forgets what is in it.
+func (p *pipe) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.cut {
+		p.closed = true
+		p.cut = true
+		p.chunks = nil
+		p.wake()
+	}
+}
+
+func (p *pipe) hold(held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = held
+	p.wake()
+}
+
 func (p *pipe) setDeadline(t time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -132,9 +157,11 @@
 
 // link is one connection: two pipes and two ends.
 type link struct {
-	address string
-	up      *pipe
-	down    *pipe
+	address  string
+	dialer   *Host
+	listener *Host
+	up       *pipe
+	down     *pipe
 }
 
 func (k *link) open(address net.Addr, delay time.Duration) (dialerEnd, listenerEnd net.Conn) {
@@ -144,8 +171,15 @@
 }
 
 func (k *link) cut() {
-	k.up.close()
-	k.down.close()
+	k.up.drop()
+	k.down.drop()
+}
+
+// hold brings the pipes in line with whether one of the processes is frozen; the caller holds the network's lock.
+func (k *link) hold() {
+	held := k.dialer.frozen || k.listener.frozen
+	k.up.hold(held)
+	k.down.hold(held)
 }
 
 func (k *link) closed() bool {
@@ -171,7 +205,7 @@
 	if !c.out.silent.Load() {
 		c.out.close()
 	}
-	c.in.close()
+	c.in.drop()
 	return nil
 }
 
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -34,6 +34,7 @@
 	worker  Incarnation
 	sentAt  time.Time
 	moves   int
+	refused int
 	outcome Outcome
 	output  []byte
 	reason  string
@@ -82,6 +83,9 @@
 // Moves returns how often the task came back as not run from an agent.
 func (t *Task) Moves() int { return t.moves }
 
+// Refused returns how often a worker would not take the task for a reason other than its load.
+func (t *Task) Refused() int { return t.refused }
+
 // Outcome returns what is known about the task.
 func (t *Task) Outcome() Outcome { return t.outcome }
 
@@ -104,10 +108,14 @@
 // MarkUnsettled records that the session to the task's worker was lost.
 func (t *Task) MarkUnsettled() { t.phase = PhaseUnsettled }
 
-// MarkReturned records that the task is known not to have started and waits for a worker again.
-func (t *Task) MarkReturned() {
+// MarkReturned records that the task is known not to have started and waits for a worker again; busy says that it came
+// back only because of the worker's load.
+func (t *Task) MarkReturned(busy bool) {
 	t.phase = PhaseQueued
 	t.moves++
+	if !busy {
+		t.refused++
+	}
 }
 
 // Resolve sets the final outcome and says whether it was the first one; later ones are ignored.
--- a/hibiscustransport/connector.go
+++ b/hibiscustransport/connector.go
@@ -30,7 +30,6 @@
 	log      *slog.Logger
 	mu       sync.Mutex
 	dialing  map[string]context.CancelFunc
-	conns    map[net.Conn]struct{}
 	duties   sync.WaitGroup
 }
 
@@ -38,7 +37,7 @@
 func NewConnector(network Network, secret []byte, handlers SessionHandlers, log *slog.Logger) *Connector {
 	return &Connector{
 		network: network, secret: secret, handlers: handlers, stats: newSessionStats(), log: log,
-		dialing: map[string]context.CancelFunc{}, conns: map[net.Conn]struct{}{},
+		dialing: map[string]context.CancelFunc{},
 	}
 }
 
@@ -56,12 +55,13 @@
 		}
 		c.duties.Go(func() {
 			err := c.run(ctx, conn, false)
-			c.log.Debug("session: ended", "address", conn.RemoteAddr().String(), "cause", err)
+			c.log.Debug("session: ended", "address", conn.RemoteAddr().String(), "cause", err.Error())
 		})
 	}
 }
 
-// Reconcile keeps a session to each address that wanted returns, until ctx is done, and then waits for all sessions.
+// Reconcile keeps a session to each address that wanted returns, until ctx is done; then it returns when all sessions are
+// finished.
 func (c *Connector) Reconcile(ctx context.Context, wanted func() []string) {
 	ticker := time.NewTicker(reconcileEvery)
 	defer ticker.Stop()
@@ -69,7 +69,6 @@
 		c.reconcile(ctx, wanted())
 		select {
 		case <-ctx.Done():
-			c.closeAll()
 			c.duties.Wait()
 			return
 		case <-ticker.C:
@@ -109,7 +108,7 @@
 		if time.Since(began) > maxBackoff {
 			backoff = firstBackoff
 		}
-		c.log.Debug("session: ended", "address", address, "cause", err)
+		c.log.Debug("session: ended", "address", address, "cause", err.Error())
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff):
@@ -127,28 +126,10 @@
 }
 
 func (c *Connector) run(ctx context.Context, conn net.Conn, dialer bool) error {
-	c.mu.Lock()
-	c.conns[conn] = struct{}{}
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.conns, conn)
-		c.mu.Unlock()
-	}()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
-	err := RunSession(conn, c.secret, dialer, c.handlers, c.stats, c.log)
+	err := RunSession(ctx, conn, c.secret, dialer, c.handlers, c.stats, c.log)
 	c.stats.countEnd(err)
 	if errors.Is(err, ErrHandshake) {
 		c.log.Warn("session: peer was refused", "address", conn.RemoteAddr().String(), "cause", err.Error())
 	}
 	return err
 }
-
-func (c *Connector) closeAll() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.conns {
-		conn.Close()
-	}
-}
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"io"
 	"log/slog"
@@ -23,6 +24,12 @@
 //
 // Duties: a reader and a writer for each stream, and a watchdog. The watchdog looks at what this end receives, so that a
 // connection that carries bytes in one direction only is closed by the end that no longer hears.
+//
+// A session is finished by closing its streams behind the last messages; the other end closes the connection when it has
+// read both streams to their end. Closing the connection at once would lose what is still on its way.
+//
+// A message that finds no room in its ring ends the session, because the other end would wait for it for good. Both ends
+// settle what is open over the next session. Only orders are taken back by their sender, and pings are repeated.
 
 const (
 	// pingAfter and silentAfter hold while tasks move: a silent connection is found within a second.
@@ -33,6 +40,8 @@
 	idleSilentAfter = 2500 * time.Millisecond
 	// activeFor is how long after a task frame the short times hold.
 	activeFor = 2 * time.Second
+	// finishTimeout is how long the other end may take to close a session that this end has finished.
+	finishTimeout = time.Second
 
 	writerCapacity = 4096
 	writerBatch    = 64
@@ -72,11 +81,16 @@
 	tasks    *stream
 	peer     *hibiscuscoordination.Peer
 	heardAt  atomic.Int64
-	activeAt atomic.Int64
-	writers  atomic.Int32
-	closing  sync.Once
-	closed   chan struct{}
-	cause    error
+	// activeFrom and activeAt are the first and the last task frame of a period in which tasks move.
+	activeFrom atomic.Int64
+	activeAt   atomic.Int64
+	readers    atomic.Int32
+	finishes   sync.Once
+	finished   chan struct{}
+	overflow   chan hibiscuscoordination.MessageKind
+	closing    sync.Once
+	closed     chan struct{}
+	cause      error
 }
 
 // stream is one yamux stream with the ring of its writer.
@@ -86,9 +100,14 @@
 	ring   *hibiscusstate.Ring[hibiscuscoordination.Message]
 }
 
-// RunSession speaks over a connection until it ends and returns why; dialer says which end this is.
-func RunSession(conn net.Conn, secret []byte, dialer bool, handlers SessionHandlers, stats *sessionStats, log *slog.Logger) error {
-	s := &Session{handlers: handlers, log: log, closed: make(chan struct{})}
+// RunSession speaks over a connection until it ends or ctx is done, and returns why; dialer says which end this is.
+func RunSession(
+	ctx context.Context, conn net.Conn, secret []byte, dialer bool, handlers SessionHandlers, stats *sessionStats, log *slog.Logger,
+) error {
+	s := &Session{
+		handlers: handlers, log: log, closed: make(chan struct{}), finished: make(chan struct{}),
+		overflow: make(chan hibiscuscoordination.MessageKind, 1),
+	}
 	if err := s.open(conn, secret, dialer); err != nil {
 		conn.Close()
 		return err
@@ -99,13 +118,15 @@
 	duties.Go(func() { s.write(s.control) })
 	duties.Go(func() { s.write(s.tasks) })
 	duties.Go(s.watch)
-	err := handlers.up(s.peer)
-	if err == nil {
+	if err := handlers.up(s.peer); err != nil {
+		s.close(err)
+	} else {
 		duties.Go(func() { s.read(s.tasks) })
-		s.read(s.control)
+		duties.Go(func() { s.read(s.control) })
 	}
-	s.close(err)
+	stop := context.AfterFunc(ctx, s.finish)
 	duties.Wait()
+	stop()
 	if err := handlers.down(s.peer); err != nil {
 		return errors.Mark(errors.CombineErrors(s.cause, err), ErrSession)
 	}
@@ -125,6 +146,7 @@
 	cfg.LogOutput = io.Discard
 	cfg.MaxStreamWindowSize = streamWindow
 	cfg.ConnectionWriteTimeout = idleSilentAfter
+	cfg.StreamCloseTimeout = idleSilentAfter
 	if err := s.openStreams(conn, cfg, dialer); err != nil {
 		return errors.Mark(errors.Wrap(err, "open streams"), ErrSession)
 	}
@@ -138,7 +160,7 @@
 	}
 	s.heard()
 	s.peer = hibiscuscoordination.NewPeer(hello, s.send, s.finish)
-	s.writers.Store(2)
+	s.readers.Store(2)
 	return nil
 }
 
@@ -218,10 +240,20 @@
 
 // send gives a message to the writer of its stream.
 func (s *Session) send(m hibiscuscoordination.Message) bool {
+	st := s.control
 	if isTaskMessage(m.Kind()) {
-		return s.tasks.ring.TryPush(m)
+		st = s.tasks
+	}
+	if st.ring.TryPush(m) {
+		return true
+	}
+	if m.Kind() != hibiscuscoordination.MessageOrders && m.Kind() != hibiscuscoordination.MessagePing {
+		select {
+		case s.overflow <- m.Kind():
+		default:
+		}
 	}
-	return s.control.ring.TryPush(m)
+	return false
 }
 
 func isTaskMessage(kind hibiscuscoordination.MessageKind) bool {
@@ -244,13 +276,13 @@
 	for {
 		n, err := st.ring.PopBatch(batch, -1)
 		if err != nil {
-			if s.writers.Add(-1) == 0 {
-				s.close(nil)
+			if err := st.conn.Close(); err != nil {
+				s.close(err)
 			}
 			return
 		}
 		if st == s.tasks {
-			s.activeAt.Store(time.Now().UnixNano())
+			s.active(time.Now())
 		}
 		if err := st.writeBatch(buf, batch[:n]); err != nil {
 			s.close(err)
@@ -280,13 +312,19 @@
 func (s *Session) read(st *stream) {
 	for {
 		m, err := st.readMessage()
+		if errors.Is(err, io.EOF) {
+			if s.readers.Add(-1) == 0 {
+				s.close(errors.New("finished by the other end"))
+			}
+			return
+		}
 		if err != nil {
 			s.close(err)
 			return
 		}
 		s.heard()
 		if st == s.tasks {
-			s.activeAt.Store(time.Now().UnixNano())
+			s.active(time.Now())
 		}
 		if m.Kind() == hibiscuscoordination.MessagePing {
 			s.send(hibiscuscoordination.NewPongMessage())
@@ -319,35 +357,67 @@
 
 func (s *Session) heard() { s.heardAt.Store(time.Now().UnixNano()) }
 
+// active notes that a task frame moved.
+func (s *Session) active(now time.Time) {
+	if now.Sub(time.Unix(0, s.activeAt.Load())) >= activeFor {
+		s.activeFrom.Store(now.UnixNano())
+	}
+	s.activeAt.Store(now.UnixNano())
+}
+
+// silence returns the time from which this end may expect to have heard something, and after how much longer it pings and
+// gives up. The short times count from the first task frame: an idle end may rightly have heard nothing for a second.
+func (s *Session) silence(now time.Time) (since time.Time, ping, silent time.Duration) {
+	since = time.Unix(0, s.heardAt.Load())
+	if now.Sub(time.Unix(0, s.activeAt.Load())) >= activeFor {
+		return since, idlePingAfter, idleSilentAfter
+	}
+	if from := time.Unix(0, s.activeFrom.Load()); from.After(since) {
+		since = from
+	}
+	return since, pingAfter, silentAfter
+}
+
 // watch is the watchdog duty: it pings when nothing was heard for a while and closes a session that stays silent.
 func (s *Session) watch() {
 	timer := time.NewTimer(pingAfter)
 	defer timer.Stop()
 	var pinged time.Time
+	var expired <-chan time.Time
+	finished := s.finished
 	for {
 		select {
 		case <-s.closed:
 			return
+		case <-finished:
+			finished = nil
+			expired = time.After(finishTimeout)
+			continue
+		case <-expired:
+			s.close(errors.New("the other end did not close the finished session"))
+			return
+		case kind := <-s.overflow:
+			if finished == nil {
+				continue
+			}
+			s.close(errors.Newf("the other end takes no more messages, the first lost one is %s", kind))
+			return
 		case <-timer.C:
 		}
 		now := time.Now()
-		ping, silent := idlePingAfter, idleSilentAfter
-		if now.Sub(time.Unix(0, s.activeAt.Load())) < activeFor {
-			ping, silent = pingAfter, silentAfter
-		}
-		heard := time.Unix(0, s.heardAt.Load())
-		quiet := now.Sub(heard)
+		since, ping, silent := s.silence(now)
+		quiet := now.Sub(since)
 		if quiet >= silent {
 			s.close(errors.Mark(errors.Newf("nothing was received for %v", quiet.Round(time.Millisecond)), ErrSilent))
 			return
 		}
-		if quiet >= ping && pinged.Before(heard.Add(ping)) {
+		if quiet >= ping && pinged.Before(since.Add(ping)) {
 			pinged = now
 			s.send(hibiscuscoordination.NewPingMessage())
 		}
-		next := heard.Add(ping)
+		next := since.Add(ping)
 		if !next.After(now) {
-			next = heard.Add(silent)
+			next = since.Add(silent)
 		}
 		// The short times may come into force at any moment, so look at least that often.
 		timer.Reset(min(next.Sub(now), pingAfter))
@@ -356,8 +426,11 @@
 
 // finish ends the session after the messages that were sent before.
 func (s *Session) finish() {
-	s.control.ring.Close()
-	s.tasks.ring.Close()
+	s.finishes.Do(func() {
+		close(s.finished)
+		s.control.ring.Close()
+		s.tasks.ring.Close()
+	})
 }
 
 // close ends the session; the first cause counts.
--- /dev/null
+++ b/hibiscustransport/session_test.go
@@ -0,0 +1,175 @@
+package hibiscustransport
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"github.com/sebdah/goldie/v2"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol"
+	"hibiscusrouter/hibiscusstandin"
+)
+
+var testSecret = []byte("a shared key for tests only")
+
+// hostile is the other end of a session that breaks the rules at one step.
+type hostile struct {
+	conn    net.Conn
+	mux     *yamux.Session
+	control net.Conn
+	tasks   net.Conn
+}
+
+// greet does what a good dialer does, up to its introduction.
+func (h *hostile) greet() error {
+	if err := h.openMux(); err != nil {
+		return err
+	}
+	if err := h.openStreams(); err != nil {
+		return err
+	}
+	frame, err := hibiscusprotocol.EncodeFrame(nil, hibiscuscoordination.NewHelloMessage(
+		hibiscuscoordination.NewHello(hibiscuscoordination.RoleAgent, 7, "10.0.2.1:7300", "a", 0, hibiscuscoordination.Capacity{})))
+	if err != nil {
+		return err
+	}
+	return h.write(h.control, uint32(len(frame)), frame)
+}
+
+func (h *hostile) openMux() error {
+	if err := handshake(h.conn, testSecret, true); err != nil {
+		return err
+	}
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	var err error
+	h.mux, err = yamux.Client(h.conn, cfg)
+	return err
+}
+
+func (h *hostile) openStreams() error {
+	var err error
+	if h.control, err = h.mux.Open(); err != nil {
+		return err
+	}
+	if h.tasks, err = h.mux.Open(); err != nil {
+		return err
+	}
+	if _, err = h.control.Write([]byte{controlStream}); err != nil {
+		return err
+	}
+	_, err = h.tasks.Write([]byte{taskStream})
+	return err
+}
+
+// write sends a frame whose header may lie about its length.
+func (h *hostile) write(stream net.Conn, length uint32, body []byte) error {
+	_, err := stream.Write(append(binary.BigEndian.AppendUint32(nil, length), body...))
+	return err
+}
+
+// greeted returns a step that comes after a good introduction.
+func greeted(step func(h *hostile) error) func(h *hostile) error {
+	return func(h *hostile) error {
+		if err := h.greet(); err != nil {
+			return err
+		}
+		return step(h)
+	}
+}
+
+// TestSessionHostile guards against a peer that keeps a session open, or makes it hold memory, without speaking its rules:
+// each is closed within a bounded time, and a length in a header reserves no memory.
+func TestSessionHostile(t *testing.T) {
+	lines := []string{}
+	for _, c := range []struct {
+		name string
+		play func(h *hostile) error
+	}{
+		{"says nothing", func(*hostile) error { return nil }},
+		{"sends half a nonce", func(h *hostile) error { return second(h.conn.Write(make([]byte, nonceBytes/2))) }},
+		{"holds another key", func(h *hostile) error { return handshake(h.conn, []byte("another shared key"), true) }},
+		{"sends zeros for everything", func(h *hostile) error { return second(h.conn.Write(make([]byte, 1000))) }},
+		{"opens no stream", func(h *hostile) error { return h.openMux() }},
+		{"never says hello", func(h *hostile) error { return errors.CombineErrors(h.openMux(), h.openStreams()) }},
+		{"says ping instead of hello", func(h *hostile) error {
+			frame, err := hibiscusprotocol.EncodeFrame(nil, hibiscuscoordination.NewPingMessage())
+			return errors.CombineErrors(errors.CombineErrors(err, errors.CombineErrors(h.openMux(), h.openStreams())),
+				h.write(h.control, uint32(len(frame)), frame))
+		}},
+		{"says hello and no more", greeted(func(*hostile) error { return nil })},
+		{"sends a frame of 4 GB", greeted(func(h *hostile) error { return h.write(h.tasks, 1<<32-1, nil) })},
+		{"sends the header of the largest frame only", greeted(func(h *hostile) error {
+			return h.write(h.tasks, hibiscusprotocol.MaxFrameBytes, nil)
+		})},
+		{"sends a frame at one byte in 100 ms", greeted(func(h *hostile) error {
+			err := h.write(h.tasks, 1000, nil)
+			for err == nil {
+				time.Sleep(100 * time.Millisecond)
+				err = second(h.tasks.Write([]byte{0}))
+			}
+			return nil
+		})},
+		{"sends noise in a frame", greeted(func(h *hostile) error { return h.write(h.tasks, 5, []byte("noise")) })},
+		{"sends an empty frame", greeted(func(h *hostile) error { return h.write(h.control, 0, nil) })},
+	} {
+		synctest.Test(t, func(t *testing.T) { lines = append(lines, c.name+": "+endOfHostile(t, c.play)) })
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "session_hostile", []byte(strings.Join(lines, "\n")+"\n"))
+}
+
+// second drops the count of a write.
+func second(_ int, err error) error { return err }
+
+// endOfHostile returns after how long the session ended, why, and whether it held more than a mebibyte for it.
+func endOfHostile(t *testing.T, play func(h *hostile) error) string {
+	// yamux keeps timers in a sync.Pool; two collections empty it.
+	runtime.GC()
+	runtime.GC()
+	network := hibiscusstandin.NewMemoryNetwork(500 * time.Microsecond)
+	l, err := network.Listen("10.0.1.1:7200")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := network.Dial(context.Background(), "10.0.1.1:7200")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	h := &hostile{conn: conn}
+	played := make(chan error, 1)
+	go func() { played <- play(h) }()
+	began := time.Now()
+	err = RunSession(context.Background(), accepted, testSecret, false, NewSessionHandlers(
+		func() hibiscuscoordination.Hello {
+			return hibiscuscoordination.NewHello(hibiscuscoordination.RoleEntry, 1, "10.0.1.1:7200", "a", 0, hibiscuscoordination.Capacity{})
+		},
+		func(*hibiscuscoordination.Peer) error { return nil },
+		func(*hibiscuscoordination.Peer, hibiscuscoordination.Message) error { return nil },
+		func(*hibiscuscoordination.Peer) error { return nil },
+	), newSessionStats(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	took := time.Since(began)
+	runtime.ReadMemStats(&after)
+	conn.Close()
+	<-played
+	return fmt.Sprintf("closed after %v, over 4 MiB allocated: %t, %v",
+		took.Round(100*time.Millisecond), after.TotalAlloc-before.TotalAlloc > 4<<20, err)
+}
