Run the test of real processes again when any process changed

Cause: the linker leaves out what a test binary does not call, and go test keeps the result of an equal binary, so the test was taken from the cache after changes of the entry. Before / after: go test ./... said (cached) after a change of session.go; it runs now. Conclusion: the first uncached run hung once in 30 s: entries keep one of their two sessions to each other, and drop what comes over the other one, so a forward between entries that chose differently is never answered.

--- a/hibiscuscommand/processes_test.go
+++ b/hibiscuscommand/processes_test.go
@@ -36,6 +36,11 @@
 }
 
 func startProcesses(t *testing.T) *processes {
+	// The linker leaves out what the test binary does not call, and go test keeps the result of an equal binary. Without this
+	// call a change of the entry would not run the test again.
+	if code := RunContext(context.Background(), []string{"--help"}, io.Discard, io.Discard); code != exitOK {
+		t.Fatalf("--help: exit code %d", code)
+	}
 	dir := t.TempDir()
 	p := &processes{t: t, dir: dir, binary: filepath.Join(dir, "hibiscusrouter")}
 	ctx, cancel := context.WithTimeout(context.Background(), buildTimeout)
