Measure the path of one task with and without a watermill hop

Ruled out: measuring over sockets, whose time hides the hop. Conclusion: watermill stays off the task path.

--- /dev/null
+++ b/hibiscuscapacity/path_test.go
@@ -0,0 +1,141 @@
+package hibiscuscapacity
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol"
+	"hibiscusrouter/hibiscusstate"
+)
+
+const (
+	pathText = "services:\n  - name: sighting\n    kinds:\n      - {name: plausibility_check, run_ms: 1, deadline_ms: 5000}\n" +
+		"teams:\n  - {name: nokkhao, share: 60}\n"
+	pathTopic = "submissions"
+)
+
+// path is an entry and an agent whose frames are encoded and decoded, but not sent over a socket.
+type path struct {
+	b       *testing.B
+	entry   *hibiscuscoordination.Entry
+	answers *hibiscusstate.Ring[*hibiscuscoordination.Answer]
+}
+
+func newPath(b *testing.B) *path {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	identity := func(i hibiscusstate.Incarnation) hibiscuscoordination.Identity {
+		return hibiscuscoordination.NewIdentity(i, "127.0.0.1:1", "a")
+	}
+	p := &path{b: b, answers: hibiscusstate.NewRing[*hibiscuscoordination.Answer](1)}
+	p.entry = hibiscuscoordination.NewEntry(identity(1), func(hibiscuscoordination.Event) {}, log)
+	agent := hibiscuscoordination.NewAgent(identity(2), AgentsSettings{}.execute, log)
+	document, err := hibiscusprotocol.ParseText("path", []byte(pathText))
+	p.must(err)
+	go p.entry.Run()
+	go agent.Run()
+	b.Cleanup(func() { p.entry.Stop(); agent.Stop() })
+	p.must(p.entry.Configure(hibiscusstate.NewConfiguration(1, pathText, document)))
+	p.must(agent.Announce("sighting", 8))
+	var toAgent, toEntry *hibiscuscoordination.Peer
+	toAgent = hibiscuscoordination.NewPeer(agent.Hello(), p.wire(func(m hibiscuscoordination.Message) error {
+		return agent.PeerMessage(toEntry, m)
+	}), func() {})
+	toEntry = hibiscuscoordination.NewPeer(p.entry.Hello(), p.wire(func(m hibiscuscoordination.Message) error {
+		return p.entry.PeerMessage(toAgent, m)
+	}), func() {})
+	p.must(p.entry.PeerUp(toAgent))
+	p.must(agent.PeerUp(toEntry))
+	for p.run(p.submission()).Refusal() == hibiscusstate.RefusalNoWorkers {
+		// The agent's first capacity message is on its way; each try waits for the duty.
+		continue
+	}
+	return p
+}
+
+func (p *path) must(err error) {
+	p.b.Helper()
+	if err != nil {
+		p.b.Fatal(err)
+	}
+}
+
+// wire returns a send function that passes on what a message is after its frame.
+func (p *path) wire(deliver func(hibiscuscoordination.Message) error) func(hibiscuscoordination.Message) bool {
+	return func(m hibiscuscoordination.Message) bool {
+		frame, err := hibiscusprotocol.EncodeFrame(nil, m)
+		p.must(err)
+		decoded, err := hibiscusprotocol.DecodeFrame(frame)
+		p.must(err)
+		return deliver(decoded) == nil
+	}
+}
+
+func (p *path) submission() *hibiscuscoordination.Submission {
+	keys, err := p.entry.IssueKeys(1)
+	p.must(err)
+	task := hibiscusstate.NewTaskSpec("plausibility_check", []byte(`{"species":"Pitta gurneyi"}`), 0)
+	return hibiscuscoordination.NewSubmission(keys[0], 1, "nokkhao", "sighting", []hibiscusstate.TaskSpec{task}).WithWait(time.Second)
+}
+
+// run submits one task and waits for its answer.
+func (p *path) run(s *hibiscuscoordination.Submission) *hibiscuscoordination.Answer {
+	p.must(p.entry.Submit(s, func(a *hibiscuscoordination.Answer) { p.answers.TryPush(a) }))
+	return p.answer()
+}
+
+func (p *path) answer() *hibiscuscoordination.Answer {
+	a, err := p.answers.Pop()
+	p.must(err)
+	return a
+}
+
+func (p *path) check(a *hibiscuscoordination.Answer) {
+	if a.State() != hibiscusstate.JobComplete || a.Refusal() != hibiscusstate.RefusalNone {
+		p.b.Fatalf("job is %v, refusal %v", a.State(), a.Refusal())
+	}
+}
+
+// BenchmarkPath measures the path of one task, from its submission to the answer, without sockets: as it is, and with one
+// watermill hop between the caller and the dispatch duty.
+func BenchmarkPath(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		p := newPath(b)
+		for b.Loop() {
+			p.check(p.run(p.submission()))
+		}
+	})
+	b.Run("watermill_hop", func(b *testing.B) {
+		p := newPath(b)
+		bus := gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: 64}, watermill.NopLogger{})
+		messages, err := bus.Subscribe(context.Background(), pathTopic)
+		p.must(err)
+		b.Cleanup(func() { _ = bus.Close() })
+		// One submission is under way at a time, so that this ring is its payload and no encoding is counted to watermill.
+		submissions := hibiscusstate.NewRing[*hibiscuscoordination.Submission](1)
+		go func() {
+			for m := range messages {
+				s, err := submissions.Pop()
+				if err == nil {
+					err = p.entry.Submit(s, func(a *hibiscuscoordination.Answer) { p.answers.TryPush(a) })
+				}
+				if err != nil {
+					b.Error(err)
+				}
+				m.Ack()
+			}
+		}()
+		for b.Loop() {
+			submissions.TryPush(p.submission())
+			p.must(bus.Publish(pathTopic, message.NewMessage(watermill.NewUUID(), nil)))
+			p.check(p.answer())
+		}
+	})
+}
