Cut large lists of tasks into frames, and take a whole answer

Cause: a body of 8 MiB was admitted, but its orders, the forward's answer and the results for recovery could be larger than the 8 MiB that the reader of a frame takes. The reader closed the session, the tasks came back and went out again. Ruled out: a smaller bound for bodies: 12 tasks of 1 MiB from two jobs reach one agent at once just the same. Conclusion: orders and reports are cut at 4 MiB, an answer or a recovery may have 64 MiB; a larger answer is refused outcome_unknown at the entry that would have to pass it on.

--- a/hibiscuscapacity/load.go
+++ b/hibiscuscapacity/load.go
@@ -131,17 +131,20 @@
 		result.add(s.tasks, &answer, time.Since(began))
 		key = answer.NextKey
 		if answer.Error != nil {
-			pause(submitting, time.Duration(answer.Error.RetryAfterMS)*time.Millisecond)
+			// A pause that is cut short ends the loop.
+			_ = pause(submitting, time.Duration(answer.Error.RetryAfterMS)*time.Millisecond)
 		}
 	}
 	return nil
 }
 
-// pause follows a retry hint.
-func pause(ctx context.Context, hint time.Duration) {
+// pause waits, and returns an error when ctx is done before.
+func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
-	case <-time.After(hint):
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
 	}
 }
 
--- /dev/null
+++ b/hibiscuscapacity/sessions.go
@@ -0,0 +1,109 @@
+package hibiscuscapacity
+
+import (
+	"context"
+	"time"
+
+	"hibiscusrouter/hibiscuscoordination"
+)
+
+// What sessions cost while nothing is dispatched over them: memory, processor time and bytes.
+
+const (
+	// settleTime is how long the sessions are left alone before the idle time is measured.
+	settleTime = 1500 * time.Millisecond
+	// idleTime is how long it is measured; at one ping a second for each end it holds a few of them.
+	idleTime = 4 * time.Second
+)
+
+var (
+	entrySessions = []float64{25, 50, 100, 200}
+	agentSessions = []float64{2, 4, 8, 12}
+)
+
+// idle is the cost of a rig at rest.
+type idle struct {
+	memory    Slope
+	processor Slope
+	traffic   Slope
+}
+
+// measureIdle builds a rig of each size and measures it at rest.
+func measureIdle(ctx context.Context, name string, sizes []float64, build func(r *rig, n int) error) (idle, error) {
+	var memory, processor, traffic []float64
+	for _, size := range sizes {
+		before := liveBytes()
+		r, err := newRig(ctx)
+		if err != nil {
+			return idle{}, err
+		}
+		err = build(r, int(size))
+		if err == nil {
+			err = r.await(int(size))
+		}
+		if err == nil {
+			err = pause(ctx, settleTime)
+		}
+		memory = append(memory, (liveBytes()-before)/1024)
+		used, bytes := processorTime(), r.bytes.Load()
+		if err == nil {
+			err = pause(ctx, idleTime)
+		}
+		processor = append(processor, float64((processorTime()-used).Microseconds())/idleTime.Seconds())
+		traffic = append(traffic, float64(r.bytes.Load()-bytes)/idleTime.Seconds())
+		r.close()
+		if err != nil {
+			return idle{}, err
+		}
+	}
+	return idle{
+		memory:    newSlope(name+" memory", "KiB", "session", sizes, memory),
+		processor: newSlope(name+" processor time at rest", "us/s", "session", sizes, processor),
+		traffic:   newSlope(name+" traffic at rest, both ways", "bytes/s", "session", sizes, traffic),
+	}, nil
+}
+
+// minusBareEnds takes the bare ends off.
+func (i idle) minusBareEnds(pairs idle) []Slope {
+	return []Slope{
+		i.memory.minus(i.memory.name, pairs.memory, 0.5),
+		i.processor.minus(i.processor.name, pairs.processor, 0.5),
+		i.traffic,
+	}
+}
+
+func barePairs(r *rig, n int) error {
+	r.accept(r.bare(hibiscuscoordination.RoleEntry, 0, ignore))
+	r.dial(n, r.bare(hibiscuscoordination.RoleEntry, 0, ignore))
+	// Both ends of each session count.
+	return r.await(n)
+}
+
+// measureSessions returns the cost of sessions at an entry and at an agent.
+func measureSessions(ctx context.Context) ([]Slope, error) {
+	entryPairs, err := measureIdle(ctx, "bare pairs", entrySessions, barePairs)
+	if err != nil {
+		return nil, err
+	}
+	entry, err := measureIdle(ctx, "entry", entrySessions, func(r *rig, n int) error {
+		_, err := r.entry()
+		r.dial(n, r.bare(hibiscuscoordination.RoleAgent, 8, ignore))
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	agentPairs, err := measureIdle(ctx, "bare pairs", agentSessions, barePairs)
+	if err != nil {
+		return nil, err
+	}
+	agent, err := measureIdle(ctx, "agent", agentSessions, func(r *rig, n int) error {
+		r.accept(r.bare(hibiscuscoordination.RoleEntry, 0, ignore))
+		r.agent(n)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return append(entry.minusBareEnds(entryPairs), agent.minusBareEnds(agentPairs)...), nil
+}
--- /dev/null
+++ b/hibiscuscapacity/tasks.go
@@ -0,0 +1,174 @@
+package hibiscuscapacity
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusstate"
+)
+
+// What tasks cost at an entry: the processor time of each and of each message, and the memory of those that wait and of
+// those whose answers are kept.
+
+const (
+	// payloadBytes is the size of a payload, about that of a sighting.
+	payloadBytes = 100
+	// roundTasks is how many tasks a figure of processor time is taken from.
+	roundTasks = 40_000
+)
+
+var (
+	jobSizes     = []float64{1, 8, 32, 128}
+	messageCount = []float64{1, 2, 4, 8, 16}
+	taskCounts   = []float64{10_000, 20_000, 40_000, 80_000}
+)
+
+// finishAll answers an orders message like an agent whose tasks all finish at once.
+func finishAll(p *hibiscuscoordination.Peer, m hibiscuscoordination.Message) {
+	if m.Kind() != hibiscuscoordination.MessageOrders {
+		return
+	}
+	reports := make([]hibiscusstate.Report, len(m.Orders()))
+	for i, o := range m.Orders() {
+		reports[i] = hibiscusstate.NewResult(o.Try(), hibiscusstate.OutcomeFinished, finishedOutput, "", time.Millisecond).
+			WithJob(o.Count(), o.Digest()).WithLoad(0, 0, rigLease)
+	}
+	p.Send(hibiscuscoordination.NewReportsMessage(reports))
+}
+
+// tasksRig is an entry with bare agents.
+type tasksRig struct {
+	*rig
+	duty    *hibiscuscoordination.Entry
+	answers *hibiscusstate.Ring[*hibiscuscoordination.Answer]
+}
+
+func newTasksRig(ctx context.Context, agents, slots int, answer func(*hibiscuscoordination.Peer, hibiscuscoordination.Message)) (*tasksRig, error) {
+	r, err := newRig(ctx)
+	if err != nil {
+		return nil, err
+	}
+	t := &tasksRig{rig: r, answers: hibiscusstate.NewRing[*hibiscuscoordination.Answer](1)}
+	if t.duty, err = r.entry(); err == nil {
+		r.dial(agents, r.bare(hibiscuscoordination.RoleAgent, slots, answer))
+		err = r.await(agents)
+	}
+	if err == nil {
+		// The capacity messages of the last agents are on their way.
+		err = pause(ctx, settleTime)
+	}
+	if err != nil {
+		r.close()
+	}
+	return t, err
+}
+
+// submit submits a job of n tasks and returns its answer, that it runs when wait is zero.
+func (t *tasksRig) submit(n int, wait time.Duration) error {
+	keys, err := t.duty.IssueKeys(1)
+	if err != nil {
+		return err
+	}
+	tasks := make([]hibiscusstate.TaskSpec, n)
+	for i := range tasks {
+		tasks[i] = hibiscusstate.NewTaskSpec(rigKind, []byte(strings.Repeat("x", payloadBytes)), 0)
+	}
+	s := hibiscuscoordination.NewSubmission(keys[0], 1, rigTeam, rigService, tasks).WithWait(wait)
+	if err := t.duty.Submit(s, func(a *hibiscuscoordination.Answer) { t.answers.TryPush(a) }); err != nil {
+		return err
+	}
+	a, err := t.answers.Pop()
+	if err != nil {
+		return err
+	}
+	if a.Refusal() != hibiscusstate.RefusalNone || (wait > 0 && a.State() != hibiscusstate.JobComplete) {
+		return errors.Newf("job of %d tasks: state %s, refusal %s %s", n, a.State(), a.Refusal(), a.Message())
+	}
+	return nil
+}
+
+// processorOf returns the processor time of one job of n tasks in microseconds.
+func (t *tasksRig) processorOf(n int) (float64, error) {
+	jobs := roundTasks / n / 4
+	if n == 1 {
+		jobs = roundTasks / 8
+	}
+	used := processorTime()
+	for range jobs {
+		if err := t.submit(n, time.Minute); err != nil {
+			return 0, err
+		}
+	}
+	return float64((processorTime() - used).Nanoseconds()) / 1000 / float64(jobs), nil
+}
+
+// measureTasks returns the cost of tasks and messages at an entry, with the bare agents' end of the session in it.
+func measureTasks(ctx context.Context) ([]Slope, error) {
+	var byTasks, byMessages []float64
+	for _, n := range jobSizes {
+		v, err := measureJob(ctx, 1, int(n))
+		if err != nil {
+			return nil, err
+		}
+		byTasks = append(byTasks, v)
+	}
+	for _, n := range messageCount {
+		v, err := measureJob(ctx, int(n), 128)
+		if err != nil {
+			return nil, err
+		}
+		byMessages = append(byMessages, v)
+	}
+	queued, err := measureMemory(ctx, ignore, 0)
+	if err != nil {
+		return nil, err
+	}
+	finished, err := measureMemory(ctx, finishAll, time.Minute)
+	if err != nil {
+		return nil, err
+	}
+	return []Slope{
+		newSlope("entry processor time of a job in one orders message, with both ends of the session", "us", "task", jobSizes, byTasks),
+		newSlope("entry processor time of a job of 128 tasks over some agents, with both ends of the session", "us", "orders message",
+			messageCount, byMessages),
+		newSlope("entry memory of tasks that wait", "KiB", "task", taskCounts, queued),
+		newSlope("entry memory of finished tasks that are kept", "KiB", "task", taskCounts, finished),
+	}, nil
+}
+
+// measureJob returns the processor time of a job of n tasks that go out in one message to each agent.
+func measureJob(ctx context.Context, agents, n int) (float64, error) {
+	t, err := newTasksRig(ctx, agents, max(n/agents, 1), finishAll)
+	if err != nil {
+		return 0, err
+	}
+	defer t.close()
+	return t.processorOf(n)
+}
+
+// measureMemory returns the memory of tasks after they were submitted, in KiB.
+func measureMemory(
+	ctx context.Context, answer func(*hibiscuscoordination.Peer, hibiscuscoordination.Message), wait time.Duration,
+) ([]float64, error) {
+	var values []float64
+	for _, count := range taskCounts {
+		t, err := newTasksRig(ctx, 1, 100, answer)
+		if err != nil {
+			return nil, err
+		}
+		before := liveBytes()
+		for range int(count) / 100 {
+			if err := t.submit(100, wait); err != nil {
+				t.close()
+				return nil, err
+			}
+		}
+		values = append(values, (liveBytes()-before)/1024)
+		t.close()
+	}
+	return values, nil
+}
--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -100,6 +100,7 @@
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
 		{"job", "print a job file like the users'", jobHelp, &jobCommand{env: env}},
 		{"load", "drive an entry and print its task throughput", loadHelp, &loadCommand{env: env}},
+		{"capacity", "measure what one more session, task or team costs", capacityHelp, &capacityCommand{env: env}},
 		{"status", "show services, queues, refusals and endpoints that are out", statusHelp, &statusCommand{env: env}},
 		{"endpoints", "list the endpoints that an entry sees", endpointsHelp, &endpointsCommand{env: env}},
 		{"teams", "list the teams and what they have in the system", teamsHelp, &teamsCommand{env: env}},
--- a/hibiscusprocess/callers_test.go
+++ b/hibiscusprocess/callers_test.go
@@ -161,3 +161,32 @@
 		convey.Convey("each caller has its own", t, func() { convey.So(next, convey.ShouldHaveLength, waiting) })
 	})
 }
+
+// TestLargestBody guards against a body that is taken and then can't be passed on: a frame over the limit of its reader ends
+// the session, and the tasks in it come back until their moves are used up.
+func TestLargestBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		d.startEntry("10.0.1.1")
+		d.startEntry("10.0.1.2")
+		d.startWorker("10.0.2.1", 9)
+		time.Sleep(settleTime)
+		const size, tasks = 8 << 20, 9
+		empty := manyTasks(tasks, `{"kind":"photo_match","payload":""}`)
+		payload := strings.Repeat("x", (size-len(empty))/tasks)
+		body := manyTasks(tasks, `{"kind":"photo_match","payload":"`+payload+`"}`)
+		body += strings.Repeat(" ", size-len(body))
+		key := d.key("10.0.1.1", "key-1")
+		x := &exchanges{d: d}
+		for _, entry := range []string{"1.1:7100/v1/jobs", "1.2:7100/v1/jobs"} {
+			x.do("8 MiB", http.MethodPost, entry, key, body)
+		}
+		d.close()
+		finished := strings.Count(x.text.String(), `"outcome":"finished"`)
+		starts := d.nodes["10.0.2.1/endpoint"].endpoint.Starts()
+		convey.Convey("both entries give the whole answer", t, func() {
+			convey.So(finished, convey.ShouldEqual, 2*tasks)
+			convey.So(starts, convey.ShouldHaveLength, tasks)
+		})
+	})
+}
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -14,8 +14,45 @@
 // Frames are the protobuf form of hibiscuscoordination.Message. Durations travel as whole microseconds, and every enum is
 // checked on the way in, because a frame may come from a newer or a hostile process.
 
-// MaxFrameBytes is the size of the largest frame that a process takes.
-const MaxFrameBytes = 8 << 20
+const (
+	// MaxFrameBytes is the size of the largest frame that a process takes. The results that an agent keeps for recovery, 32
+	// MiB, go into one.
+	MaxFrameBytes = 64 << 20
+	// maxPartBytes is where lists of tasks are cut, so that a frame doesn't hold up those behind it.
+	maxPartBytes = 4 << 20
+	// maxForwardedBytes is how much output an entry passes on to another one, with room for the rest of the frame.
+	maxForwardedBytes = MaxFrameBytes - 1<<20
+)
+
+// CutMessage returns the part of a message that fits well into one frame, and the rest if there is one. An entry may owe an
+// agent more than a frame takes: each payload may have a megabyte, and each slot may get a task.
+func CutMessage(m hibiscuscoordination.Message) (first, rest hibiscuscoordination.Message, more bool) {
+	switch m.Kind() {
+	case hibiscuscoordination.MessageOrders:
+		if n := cutAt(m.Orders(), func(o hibiscusstate.Order) int { return len(o.Payload()) }); n < len(m.Orders()) {
+			return hibiscuscoordination.NewOrdersMessage(m.Orders()[:n]), hibiscuscoordination.NewOrdersMessage(m.Orders()[n:]), true
+		}
+	case hibiscuscoordination.MessageReports:
+		if n := cutAt(m.Reports(), func(r hibiscusstate.Report) int { return len(r.Output()) }); n < len(m.Reports()) {
+			return hibiscuscoordination.NewReportsMessage(m.Reports()[:n]), hibiscuscoordination.NewReportsMessage(m.Reports()[n:]), true
+		}
+	default:
+		// The other messages are small, or are one answer that has to come whole.
+	}
+	return m, hibiscuscoordination.Message{}, false
+}
+
+// cutAt returns how many values of a list fit into a part, at least one.
+func cutAt[T any](list []T, size func(T) int) int {
+	bytes := 0
+	for i, v := range list {
+		bytes += size(v)
+		if i > 0 && bytes > maxPartBytes {
+			return i
+		}
+	}
+	return len(list)
+}
 
 // EncodeFrame appends the frame of a message to buf, and returns ErrBadFrame for one that can't be encoded.
 func EncodeFrame(buf []byte, m hibiscuscoordination.Message) ([]byte, error) {
@@ -185,6 +222,14 @@
 }
 
 func forwardedOut(request uint64, a *hibiscuscoordination.Answer) *hibiscuswire.Forwarded {
+	bytes := 0
+	for _, t := range a.Tasks() {
+		bytes += len(t.Output())
+	}
+	if bytes > maxForwardedBytes {
+		a = hibiscuscoordination.NewRefusal(a.Key(), hibiscusstate.RefusalOutcomeUnknown, false,
+			"the job has ended, but its answer is too large to be passed on; send the request again until the balancer picks its entry")
+	}
 	tasks := make([]*hibiscuswire.TaskAnswer, len(a.Tasks()))
 	for i, t := range a.Tasks() {
 		tasks[i] = hibiscuswire.TaskAnswer_builder{
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -264,13 +264,17 @@
 func (st *stream) writeBatch(buf []byte, batch []hibiscuscoordination.Message) error {
 	buf = buf[:0]
 	for _, m := range batch {
-		start := len(buf)
-		buf = append(buf, 0, 0, 0, 0)
-		var err error
-		if buf, err = hibiscusprotocol.EncodeFrame(buf, m); err != nil {
-			return err
+		for more := true; more; {
+			var part hibiscuscoordination.Message
+			part, m, more = hibiscusprotocol.CutMessage(m)
+			start := len(buf)
+			buf = append(buf, 0, 0, 0, 0)
+			var err error
+			if buf, err = hibiscusprotocol.EncodeFrame(buf, part); err != nil {
+				return err
+			}
+			binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-lengthBytes))
 		}
-		binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-lengthBytes))
 	}
 	_, err := st.conn.Write(buf)
 	return err
