--- a/hibiscusmeasure/fleet.go
+++ b/hibiscusmeasure/fleet.go
@@ -118,7 +118,7 @@
 			return true
 		},
 		func(slot int, order hibiscusstate.Order) { f.start(n, slot, order) },
-		func(slot int, id hibiscusstate.TaskID) { f.stop(n, slot, id) },
+		func(slot int, try hibiscusstate.TaskTry) { f.stop(n, slot, try.ID()) },
 	))
 	for i := range f.trial.deployment.entries {
 		a.up = append(a.up, link{lane: f.trial.clock.lane(), latency: f.trial.deployment.link(i, n)})
