--- a/hibiscuscapacity/decisions.go
+++ b/hibiscuscapacity/decisions.go
@@ -29,7 +29,8 @@
 	var b strings.Builder
 	b.WriteString("services:\n")
 	for i := range services {
-		fmt.Fprintf(&b, "  - name: service_%d\n    kinds:\n      - {name: %s, idempotent: true, urgent: true, run_ms: 80, deadline_ms: 3600000}\n", i, rigKind)
+		fmt.Fprintf(&b, "  - name: service_%d\n    kinds:\n", i)
+		fmt.Fprintf(&b, "      - {name: %s, idempotent: true, urgent: true, run_ms: 80, deadline_ms: 3600000}\n", rigKind)
 	}
 	b.WriteString("teams:\n")
 	for i := range teams {
--- a/hibiscusprotocol/admin_http.go
+++ b/hibiscusprotocol/admin_http.go
@@ -25,6 +25,8 @@
 	maxPage     = 1000
 	// maxProblems bounds the endpoints that GET /v1/admin/status names; the endpoints page has them all.
 	maxProblems = 20
+	// healthNoEndpoint stands in place of a good health when the agent has no endpoint.
+	healthNoEndpoint = "no_endpoint"
 )
 
 // AdminAPI serves operators of one entry.
@@ -60,6 +62,7 @@
 
 type adminStatusBody struct {
 	Entry                adminEntryBody      `json:"entry"`
+	Configured           bool                `json:"configured"`
 	ConfigurationVersion uint64              `json:"configuration_version"`
 	Jobs                 adminJobsBody       `json:"jobs"`
 	Services             []adminServiceBody  `json:"services"`
@@ -136,6 +139,7 @@
 	Address       string `json:"address"`
 	Incarnation   string `json:"incarnation"`
 	FailureDomain string `json:"failure_domain"`
+	CallerAddress string `json:"caller_address,omitempty"`
 	Connected     bool   `json:"connected"`
 	Self          bool   `json:"self"`
 }
@@ -161,6 +165,7 @@
 			Address: identity.Address(), Incarnation: identity.Incarnation().String(), FailureDomain: identity.Domain(),
 			Ready: a.ready(), Draining: snapshot.Draining(),
 		},
+		Configured:           snapshot.Configured(),
 		ConfigurationVersion: snapshot.Version(),
 		Jobs:                 adminJobsBody{Running: snapshot.Running(), Records: snapshot.Records(), Bytes: snapshot.Bytes()},
 		Services:             serviceBodies(services),
@@ -193,6 +198,8 @@
 func troubleOf(e adminEndpointBody) int {
 	switch {
 	case !e.Connected:
+		return 5
+	case e.Health == healthNoEndpoint:
 		return 4
 	case e.Health == hibiscusstate.HealthOut.String():
 		return 3
@@ -265,7 +272,7 @@
 		m := members[i].Member()
 		bodies[i] = adminMemberBody{
 			Address: m.Address(), Incarnation: m.Incarnation().String(), FailureDomain: m.Domain(),
-			Connected: members[i].Connected(), Self: members[i].Self(),
+			CallerAddress: m.Caller(), Connected: members[i].Connected(), Self: members[i].Self(),
 		}
 	}
 	writePage(w, r, err, bodies, func(m adminMemberBody) string { return m.Address + " " + m.Incarnation })
@@ -321,6 +328,10 @@
 			Slots: worker.Slots(), InFlight: worker.InFlight(), Finished: worker.Finished(), Failed: worker.Failed(),
 			Lease: worker.Lease(),
 		}
+		if worker.Slots() == 0 && worker.Health() == hibiscusstate.HealthGood {
+			bodies[i].Health = healthNoEndpoint
+			bodies[i].Cause = "no endpoint announces itself to the agent"
+		}
 		if worker.Health() == hibiscusstate.HealthOut {
 			bodies[i].TrialInMS = max(worker.OutUntil().Sub(now).Milliseconds(), 0)
 		}
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// HoldAll keeps all slots counted as taken until a time.
+func (w *Worker) HoldAll(until time.Time) {
+	w.held = w.held[:0]
+	for range w.slots {
+		w.held = append(w.held, until)
+	}
+}
+
 // ReleaseHolds frees the held slots whose time has passed and says whether there was one.
 func (w *Worker) ReleaseHolds(now time.Time) bool {
 	kept := w.held[:0]
@@ -153,7 +161,7 @@
 
 // Usable says whether the worker may get a task.
 func (w *Worker) Usable() bool {
-	if !w.connected {
+	if !w.connected || w.slots == 0 {
 		return false
 	}
 	switch w.health {
