--- a/hibiscuscoordination/benchmark_test.go
+++ b/hibiscuscoordination/benchmark_test.go
@@ -61,7 +61,7 @@
 				a.orders = a.orders[:0]
 				d.dirty = d.dirty[:0]
 				a.pool.heap.Update(a.worker)
-				t.MarkReturned()
+				t.MarkReturned(true)
 				a.pool.queue.Push(t)
 				d.dispatch(benchmarkNow, a.pool)
 			}
