--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -133,3 +133,34 @@
 func (d *Dispatcher) Idle() bool { return len(d.deadlines) == 0 }
 
 func hibiscusstateIsExpired(err error) bool { return errors.Is(err, hibiscusstate.ErrKeyExpired) }
+
+// deadlineHeap orders running jobs by when their time is up.
+type deadlineHeap []*jobRecord
+
+func (h deadlineHeap) Len() int { return len(h) }
+
+func (h deadlineHeap) Less(a, b int) bool {
+	return h[a].due().Before(h[b].due())
+}
+
+func (h deadlineHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].index = a
+	h[b].index = b
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	r := x.(*jobRecord)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return r
+}
--- /dev/null
+++ b/hibiscuscoordination/dispatcher_workers.go
@@ -0,0 +1,139 @@
+package hibiscuscoordination
+
+import (
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// How workers come, change what they offer, are lost and are given up.
+
+// WorkerUp takes a worker whose agent has opened a session, or whose agent has opened another one after a lost session.
+func (d *Dispatcher) WorkerUp(now time.Time, hello Hello) {
+	id := hello.incarnation
+	a := d.workers[id]
+	if a == nil {
+		d.forgetPredecessor(now, hello)
+		w := hibiscusstate.NewWorker(id, hello.address, hello.domain, hello.capacity.service, hello.capacity.slots,
+			rendezvous(d.incarnation, id))
+		w.SetPrimary(d.ranksFirst(id))
+		a = &assignment{worker: w, pool: d.pool(hello.capacity.service), tasks: map[hibiscusstate.TaskID]*hibiscusstate.Task{}}
+		d.workers[id] = a
+		a.pool.heap.Add(w)
+		a.pool.slots += w.Slots()
+	}
+	if a.worker.Connected() && len(a.tasks) > 0 {
+		// The agent opened another session before this entry noticed the loss of the one before.
+		d.WorkerDown(now, id)
+	}
+	a.worker.SetConnected(true)
+	d.Capacity(now, id, hello.capacity)
+	d.settle(a)
+}
+
+// forgetPredecessor gives up the tasks of an agent that was replaced at the same address: its memory is gone.
+func (d *Dispatcher) forgetPredecessor(now time.Time, hello Hello) {
+	for id, a := range d.workers {
+		if a.worker.Address() == hello.address && !a.worker.Connected() && id != hello.incarnation {
+			d.forgetWorker(now, a, "the worker was replaced while it had the task")
+		}
+	}
+}
+
+// settle asks an agent what became of the tasks that it was given over an earlier session.
+func (d *Dispatcher) settle(a *assignment) {
+	var tries []hibiscusstate.TaskTry
+	for _, t := range a.tasks {
+		if t.Phase() == hibiscusstate.PhaseUnsettled {
+			tries = append(tries, t.Try())
+		}
+	}
+	if len(tries) > 0 {
+		d.counters.messages++
+		d.send(a.worker.ID(), NewSettleMessage(tries))
+	}
+}
+
+// Capacity takes what a worker's endpoint offers now.
+func (d *Dispatcher) Capacity(now time.Time, id hibiscusstate.Incarnation, c Capacity) {
+	a := d.workers[id]
+	if a == nil {
+		return
+	}
+	a.worker.SetLease(c.lease)
+	if c.service != "" && c.service != a.worker.Service() {
+		a = d.moveToService(a, c.service)
+	}
+	a.pool.slots += c.slots - a.worker.Slots()
+	a.worker.SetSlots(c.slots)
+	switch {
+	case c.leaving:
+		if a.worker.Health() != hibiscusstate.HealthLeaving {
+			d.event(NewWorkerEvent(hibiscusstate.EventWorkerLeaving, a.worker, "the endpoint is leaving"))
+		}
+		a.worker.SetHealth(hibiscusstate.HealthLeaving, "the endpoint is leaving")
+	case c.drained:
+		a.worker.SetHealth(hibiscusstate.HealthLeaving, "an operator drained the endpoint")
+	case a.worker.Health() == hibiscusstate.HealthLeaving:
+		a.worker.SetHealth(hibiscusstate.HealthGood, "")
+	}
+	a.pool.heap.Update(a.worker)
+	d.dispatch(now, a.pool)
+}
+
+// moveToService serves the first announcement of an endpoint that came after its agent's session.
+func (d *Dispatcher) moveToService(a *assignment, service string) *assignment {
+	a.pool.heap.Remove(a.worker)
+	a.pool.slots -= a.worker.Slots()
+	w := hibiscusstate.NewWorker(a.worker.ID(), a.worker.Address(), a.worker.Domain(), service, 0, a.worker.Preference())
+	w.SetPrimary(a.worker.Primary())
+	w.SetLease(a.worker.Lease())
+	a.worker = w
+	a.pool = d.pool(service)
+	a.pool.heap.Add(w)
+	return a
+}
+
+// WorkerDown records that the session to a worker was lost: what it has is unsettled until the agent comes back.
+func (d *Dispatcher) WorkerDown(now time.Time, id hibiscusstate.Incarnation) {
+	a := d.workers[id]
+	if a == nil || !a.worker.Connected() {
+		return
+	}
+	a.worker.SetConnected(false)
+	a.lostAt = now
+	d.returnOrders(now, a)
+	for _, t := range a.tasks {
+		t.MarkUnsettled()
+	}
+	a.pool.heap.Update(a.worker)
+	d.dispatch(now, a.pool)
+}
+
+func (d *Dispatcher) forgetWorker(now time.Time, a *assignment, reason string) {
+	for _, t := range a.tasks {
+		d.resolve(now, a, t, hibiscusstate.OutcomeMayHaveRun, nil, reason, 0)
+	}
+	a.pool.heap.Remove(a.worker)
+	a.pool.slots -= a.worker.Slots()
+	delete(d.workers, a.worker.ID())
+}
+
+// ranksFirst says whether this entry has the highest rendezvous hash for a worker among the entries.
+func (d *Dispatcher) ranksFirst(worker hibiscusstate.Incarnation) bool {
+	own := rendezvous(d.incarnation, worker)
+	for _, entry := range d.entries {
+		if entry != d.incarnation && rendezvous(entry, worker) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// rendezvous mixes two incarnations into a hash, with the finaliser of splitmix64.
+func rendezvous(entry, worker hibiscusstate.Incarnation) uint64 {
+	x := uint64(entry) ^ (uint64(worker) * 0x9e3779b97f4a7c15)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
