--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -15,7 +15,7 @@
 	// agentWaitPlaces is how many tasks may wait at one agent.
 	agentWaitPlaces = 4
 	// agentWaitLimit is how long a task may wait at an agent before it comes back, unless the service is full: then all
-	// agents have tasks waiting, and with this limit a fifth of the messages in a surge carried tasks round.
+	// agents have tasks waiting, and with this limit a surge wasted 0.23 to 0.32 messages a task.
 	agentWaitLimit = 100 * time.Millisecond
 	// staleWaitPart is the part of its run time that a task may wait for a slot that this entry believed to be free. A
 	// rejection costs two messages and another try by a view that is no better.
