--- a/hibiscuscapacity/decisions.go
+++ b/hibiscuscapacity/decisions.go
@@ -29,7 +29,8 @@
 	var b strings.Builder
 	b.WriteString("services:\n")
 	for i := range services {
-		fmt.Fprintf(&b, "  - name: service_%d\n    kinds:\n      - {name: %s, idempotent: true, urgent: true, run_ms: 80, deadline_ms: 3600000}\n", i, rigKind)
+		fmt.Fprintf(&b, "  - name: service_%d\n    kinds:\n", i)
+		fmt.Fprintf(&b, "      - {name: %s, idempotent: true, urgent: true, run_ms: 80, deadline_ms: 3600000}\n", rigKind)
 	}
 	b.WriteString("teams:\n")
 	for i := range teams {
@@ -111,7 +112,7 @@
 	return newSlope("admission of a job of one task", "ns", "team", teamCounts, values), nil
 }
 
-// Measure returns all slopes; it takes about two minutes.
+// Measure returns all slopes; it takes about three minutes.
 func Measure(ctx context.Context) ([]Slope, error) {
 	slopes, err := measurePush()
 	if err != nil {
--- a/hibiscuscapacity/sessions.go
+++ b/hibiscuscapacity/sessions.go
@@ -13,7 +13,7 @@
 	// settleTime is how long the sessions are left alone before the idle time is measured.
 	settleTime = 1500 * time.Millisecond
 	// idleTime is how long it is measured; at one ping a second for each end it holds a few of them.
-	idleTime = 4 * time.Second
+	idleTime = 8 * time.Second
 )
 
 var (
--- a/hibiscuscapacity/tasks.go
+++ b/hibiscuscapacity/tasks.go
@@ -47,7 +47,9 @@
 	answers *hibiscusstate.Ring[*hibiscuscoordination.Answer]
 }
 
-func newTasksRig(ctx context.Context, agents, slots int, answer func(*hibiscuscoordination.Peer, hibiscuscoordination.Message)) (*tasksRig, error) {
+func newTasksRig(
+	ctx context.Context, agents, slots int, answer func(*hibiscuscoordination.Peer, hibiscuscoordination.Message),
+) (*tasksRig, error) {
 	r, err := newRig(ctx)
 	if err != nil {
 		return nil, err
--- a/hibiscuscommand/capacity.go
+++ b/hibiscuscommand/capacity.go
@@ -7,7 +7,7 @@
 )
 
 const capacityHelp = "Measures in one process, over loopback, what one more session, task, message, team or KiB of configuration costs, " +
-	"at three sizes or more each, with the error of the straight line through them. Takes about two minutes."
+	"at three sizes or more each, with the error of the straight line through them. Takes about three minutes."
 
 type capacityCommand struct {
 	env    *environment
