--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -25,7 +25,8 @@
 	maxJobBytes = 256 << 20
 	// jobRetention is how long the answer of a finished job is kept.
 	jobRetention = 10 * time.Minute
-	// maxMoves is how often a task may come back as not run before its job fails.
+	// maxMoves is how often a task may come back as not run before its job fails; coming back from a busy worker does not
+	// count. When it did, a job of 12 tasks of 1.5 s on 4 slots failed, because a waiting place is given up after 100 ms.
 	maxMoves = 8
 	// reportGrace is how long after the deadline a report that is under way is waited for.
 	reportGrace = 50 * time.Millisecond
@@ -41,6 +42,11 @@
 	agentWaitPlaces = 4
 	// agentWaitLimit is how long a task may wait at an agent before it comes back.
 	agentWaitLimit = 100 * time.Millisecond
+	// staleWaitPart is the part of its run time that a task may wait for a slot that this entry believed to be free. A
+	// rejection costs two messages and another try by a view that is no better.
+	staleWaitPart = 4
+	// dueFactor is how many times its longest task a job is expected to take, for the order of waiting jobs.
+	dueFactor = 4
 	// maxWaiters bounds the callers that wait for one job.
 	maxWaiters = 64
 )
@@ -81,6 +87,7 @@
 	runTimes *hibiscusstate.RunTimes
 	heap     *hibiscusstate.WorkerHeap
 	slots    int
+	usable   float64
 	longs    int
 	failures float64
 	retries  float64
@@ -241,10 +248,15 @@
 		r.waiters = append(r.waiters, reply)
 	}
 	p := d.pool(s.service)
+	longest := time.Duration(0)
 	for i := range job.Len() {
 		t := job.Task(i)
-		t.SetExpected(p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t)))
-		p.queue.Push(t)
+		t.SetExpected(p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t.Kind(), t.Declared())))
+		longest = max(longest, t.Expected())
+	}
+	job.SetDue(now.Add(dueFactor * longest))
+	for i := range job.Len() {
+		p.queue.Push(job.Task(i))
 	}
 	d.dispatch(now, p)
 }
@@ -266,13 +278,14 @@
 	return budget
 }
 
-func (d *Dispatcher) declared(service string, t *hibiscusstate.Task) time.Duration {
-	if t.Declared() > 0 {
-		return t.Declared()
+// declared returns the caller's declared run time, or the kind's when the caller names none.
+func (d *Dispatcher) declared(service, kind string, declared time.Duration) time.Duration {
+	if declared > 0 {
+		return declared
 	}
 	s, _ := d.configuration.Document().Service(service)
-	kind, _ := s.Kind(t.Kind())
-	return kind.RunTime()
+	k, _ := s.Kind(kind)
+	return k.RunTime()
 }
 
 // Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer, or
@@ -427,8 +440,13 @@
 	switch r.Status() {
 	case hibiscusstate.StatusWaiting, hibiscusstate.StatusRunning:
 		t.MarkSent(a.worker.ID(), t.SentAt())
+		if t.Job().Cancelled() || !now.Before(t.Job().Deadline()) {
+			// The job ended while the session was lost, so the agent has not been asked to stop the task.
+			d.counters.messages++
+			d.send(a.worker.ID(), NewStopMessage([]hibiscusstate.TaskTry{t.Try()}))
+		}
 	case hibiscusstate.StatusNeverReceived:
-		d.comeBack(now, a, t, "the task never reached its worker")
+		d.comeBack(now, a, t, false, "the task never reached its worker")
 	case hibiscusstate.StatusRejected:
 		d.counters.countRejection(r.Rejection())
 		if r.Rejection() == hibiscusstate.RejectionSealed {
@@ -438,22 +456,23 @@
 		if r.Rejection() == hibiscusstate.RejectionNoFreeSlot {
 			a.worker.Report(max(r.Others(), a.worker.Slots()-a.worker.InFlight()+1), r.Waiting(), now)
 		}
-		d.comeBack(now, a, t, "no worker took the task: "+r.Rejection().String())
+		busy := r.Rejection() == hibiscusstate.RejectionNoFreeSlot || r.Rejection() == hibiscusstate.RejectionWaitedOut
+		d.comeBack(now, a, t, busy, "no worker took the task: "+r.Rejection().String())
 	case hibiscusstate.StatusDone:
 		d.done(now, a, t, r)
 	}
 }
 
 // comeBack queues a task that is known not to have started, unless it is of no more use.
-func (d *Dispatcher) comeBack(now time.Time, a *assignment, t *hibiscusstate.Task, reason string) {
+func (d *Dispatcher) comeBack(now time.Time, a *assignment, t *hibiscusstate.Task, busy bool, reason string) {
 	job := t.Job()
-	if t.Moves() >= maxMoves || job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Deadline()) {
+	if t.Refused() >= maxMoves || job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Deadline()) {
 		d.resolve(now, a, t, hibiscusstate.OutcomeNotRun, nil, reason, 0)
 		return
 	}
 	d.release(a, t)
 	d.counters.moves++
-	t.MarkReturned()
+	t.MarkReturned(busy)
 	a.pool.queue.Push(t)
 }
 
@@ -566,7 +585,8 @@
 		}
 		wait := time.Duration(0)
 		if w.Free() <= 0 {
-			if -w.Free() >= d.waitPlaces() {
+			if -w.Free() >= d.waitPlaces() || p.queue.Len() < p.slots/len(d.entries) {
+				// A short queue is served sooner by the next free slot anywhere than by one agent's.
 				return
 			}
 			wait = agentWaitLimit
@@ -575,10 +595,29 @@
 		if t == nil {
 			return
 		}
+		if p.queue.Len() > 0 && now.Add(t.Expected()).After(t.Job().Deadline()) {
+			d.giveUp(now, t)
+			continue
+		}
+		if wait == 0 {
+			wait = min(t.Expected()/staleWaitPart, agentWaitLimit)
+		}
 		d.place(now, d.workers[w.ID()], t, wait)
 	}
 }
 
+// giveUp ends a job whose next task can't be in time, so that no slot works for an answer that comes too late. It is
+// called only while other tasks wait: a kind whose learned run time is too long would otherwise never run again, and never
+// be learned anew.
+func (d *Dispatcher) giveUp(now time.Time, t *hibiscusstate.Task) {
+	r := d.jobs[t.Job().Key()]
+	t.Resolve(hibiscusstate.OutcomeNotRun, nil, "the task could not be done before the deadline", 0)
+	d.counters.countOutcome(hibiscusstate.OutcomeNotRun)
+	d.abandonQueued(r, "another task of the job could not be done before the deadline")
+	d.stopSent(now, r)
+	d.finish(now, r)
+}
+
 // waitPlaces returns this entry's share of the waiting places at an agent.
 func (d *Dispatcher) waitPlaces() int { return max(agentWaitPlaces/len(d.entries), 1) }
 
@@ -630,7 +669,7 @@
 	a.orders = nil
 	for _, order := range orders {
 		if t := a.tasks[order.ID()]; t != nil {
-			d.comeBack(now, a, t, "the session to the worker took no more tasks")
+			d.comeBack(now, a, t, true, "the session to the worker took no more tasks")
 		}
 	}
 }
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -34,6 +34,7 @@
 	worker  Incarnation
 	sentAt  time.Time
 	moves   int
+	refused int
 	outcome Outcome
 	output  []byte
 	reason  string
@@ -82,6 +83,9 @@
 // Moves returns how often the task came back as not run from an agent.
 func (t *Task) Moves() int { return t.moves }
 
+// Refused returns how often a worker would not take the task for a reason other than its load.
+func (t *Task) Refused() int { return t.refused }
+
 // Outcome returns what is known about the task.
 func (t *Task) Outcome() Outcome { return t.outcome }
 
@@ -104,10 +108,14 @@
 // MarkUnsettled records that the session to the task's worker was lost.
 func (t *Task) MarkUnsettled() { t.phase = PhaseUnsettled }
 
-// MarkReturned records that the task is known not to have started and waits for a worker again.
-func (t *Task) MarkReturned() {
+// MarkReturned records that the task is known not to have started and waits for a worker again; busy says that it came
+// back only because of the worker's load.
+func (t *Task) MarkReturned(busy bool) {
 	t.phase = PhaseQueued
 	t.moves++
+	if !busy {
+		t.refused++
+	}
 }
 
 // Resolve sets the final outcome and says whether it was the first one; later ones are ignored.
@@ -137,6 +145,7 @@
 	service     string
 	submittedAt time.Time
 	deadline    time.Time
+	due         time.Time
 	tasks       []Task
 	pending     int
 	unfinished  int
@@ -148,7 +157,7 @@
 
 // NewJob returns a running job without tasks.
 func NewJob(key SubmissionKey, digest uint64, team, service string, submittedAt, deadline time.Time) *Job {
-	return &Job{key: key, digest: digest, team: team, service: service, submittedAt: submittedAt, deadline: deadline}
+	return &Job{key: key, digest: digest, team: team, service: service, submittedAt: submittedAt, deadline: deadline, due: deadline}
 }
 
 // AddTasks appends a task for each specification; it must be called once, before the job is shared.
@@ -180,6 +189,17 @@
 // Deadline returns when the answer is due.
 func (j *Job) Deadline() time.Time { return j.deadline }
 
+// Due returns the time by which waiting jobs are ordered, the deadline unless SetDue brought it forward.
+func (j *Job) Due() time.Time { return j.due }
+
+// SetDue brings the order of the job forward to the time by which a job of its length is expected; a time after the
+// deadline is ignored.
+func (j *Job) SetDue(due time.Time) {
+	if due.Before(j.deadline) {
+		j.due = due
+	}
+}
+
 // Len returns the number of tasks.
 func (j *Job) Len() int { return len(j.tasks) }
 
