Keep the text of a broken frame's error the same in every build

Ruled out: leaving the cause out of the error, which a log needs. Before / after: TestSessionHostile failed after the merge; it passes with and without -race (go test ./hibiscustransport).

--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -1,6 +1,7 @@
 package hibiscusprotocol
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,7 +68,9 @@
 func DecodeFrame(b []byte) (hibiscuscoordination.Message, error) {
 	var f hibiscuswire.Frame
 	if err := proto.Unmarshal(b, &f); err != nil {
-		return hibiscuscoordination.Message{}, errors.Mark(errors.Wrap(err, "decode frame"), ErrBadFrame)
+		// protobuf puts a no-break space into its messages in some builds and not in others.
+		return hibiscuscoordination.Message{}, errors.Mark(
+			errors.Newf("decode frame: %s", strings.ReplaceAll(err.Error(), "\u00a0", " ")), ErrBadFrame)
 	}
 	return messageOf(&f)
 }
