Give the control stream of a session small buffers

Cause: 64 KiB to read and 64 KiB to write on each stream were most of the 370 KiB of a session. Ruled out: small buffers for the task stream, which carries batches under load.

--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -46,8 +46,10 @@
 	writerCapacity = 4096
 	writerBatch    = 64
 	lengthBytes    = 4
-	streamBuffer   = 64 << 10
-	streamWindow   = 4 << 20
+	// Frames on the control stream are small; those on the task stream come in batches under load.
+	controlBuffer = 4 << 10
+	taskBuffer    = 64 << 10
+	streamWindow  = 4 << 20
 
 	controlStream = 'c'
 	taskStream    = 't'
@@ -190,7 +192,7 @@
 	if _, err := conn.Write([]byte{kind}); err != nil {
 		return nil, err
 	}
-	return newStream(conn), nil
+	return newStream(conn, kind), nil
 }
 
 func (s *Session) acceptStreams() error {
@@ -205,9 +207,9 @@
 		}
 		switch {
 		case kind[0] == controlStream && s.control == nil:
-			s.control = newStream(conn)
+			s.control = newStream(conn, kind[0])
 		case kind[0] == taskStream && s.tasks == nil:
-			s.tasks = newStream(conn)
+			s.tasks = newStream(conn, kind[0])
 		default:
 			return errors.Newf("unexpected stream kind %q", kind[0])
 		}
@@ -215,9 +217,13 @@
 	return nil
 }
 
-func newStream(conn net.Conn) *stream {
+func newStream(conn net.Conn, kind byte) *stream {
+	size := taskBuffer
+	if kind == controlStream {
+		size = controlBuffer
+	}
 	return &stream{
-		conn: conn, reader: bufio.NewReaderSize(conn, streamBuffer),
+		conn: conn, reader: bufio.NewReaderSize(conn, size),
 		ring: hibiscusstate.NewRing[hibiscuscoordination.Message](writerCapacity),
 	}
 }
@@ -272,7 +278,7 @@
 // write is the writer duty of a stream.
 func (s *Session) write(st *stream) {
 	batch := make([]hibiscuscoordination.Message, writerBatch)
-	buf := make([]byte, 0, streamBuffer)
+	buf := make([]byte, 0, st.reader.Size())
 	for {
 		n, err := st.ring.PopBatch(batch, -1)
 		if err != nil {
