--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -47,6 +47,8 @@
 	staleWaitPart = 4
 	// dueFactor is how many times its longest task a job is expected to take, for the order of waiting jobs.
 	dueFactor = 4
+	// refusedHold is how long a worker whose endpoint took no task gets none.
+	refusedHold = 250 * time.Millisecond
 	// maxWaiters bounds the callers that wait for one job.
 	maxWaiters = 64
 )
@@ -453,9 +455,7 @@
 			d.resolve(now, a, t, hibiscusstate.OutcomeNotRun, nil, "another entry has answered for the job", 0)
 			return
 		}
-		if r.Rejection() == hibiscusstate.RejectionNoFreeSlot {
-			a.worker.Report(max(r.Others(), a.worker.Slots()-a.worker.InFlight()+1), r.Waiting(), now)
-		}
+		d.avoid(now, a.worker, r)
 		busy := r.Rejection() == hibiscusstate.RejectionNoFreeSlot || r.Rejection() == hibiscusstate.RejectionWaitedOut
 		d.comeBack(now, a, t, busy, "no worker took the task: "+r.Rejection().String())
 	case hibiscusstate.StatusDone:
@@ -463,6 +463,21 @@
 	}
 }
 
+// avoid keeps a worker that did not take a task from attracting it again at once.
+func (d *Dispatcher) avoid(now time.Time, w *hibiscusstate.Worker, r *hibiscusstate.Report) {
+	switch r.Rejection() {
+	case hibiscusstate.RejectionNoFreeSlot:
+		w.Report(max(r.Others(), w.Slots()-w.InFlight()+1), r.Waiting(), now)
+	case hibiscusstate.RejectionEndpointDown, hibiscusstate.RejectionEndpointBusy:
+		// An endpoint that refuses connections looks idle, and a task that came back eight times within a few
+		// milliseconds failed its job while other workers had free slots.
+		w.HoldAll(now.Add(refusedHold))
+	case hibiscusstate.RejectionNone, hibiscusstate.RejectionWaitedOut, hibiscusstate.RejectionLeaving,
+		hibiscusstate.RejectionLeaseExpired, hibiscusstate.RejectionSealed, hibiscusstate.RejectionDuplicate,
+		hibiscusstate.RejectionUnknownKind, hibiscusstate.RejectionExpired, hibiscusstate.RejectionStopped:
+	}
+}
+
 // comeBack queues a task that is known not to have started, unless it is of no more use.
 func (d *Dispatcher) comeBack(now time.Time, a *assignment, t *hibiscusstate.Task, busy bool, reason string) {
 	job := t.Job()
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -189,6 +189,7 @@
 type EntrySnapshot struct {
 	identity   Identity
 	version    uint64
+	configured bool
 	draining   bool
 	running    int
 	records    int
@@ -202,9 +203,12 @@
 // Identity returns the incarnation, address and failure domain of the entry.
 func (s *EntrySnapshot) Identity() Identity { return s.identity }
 
-// Version returns the configuration version in force, zero for none.
+// Version returns the configuration version in force, zero when no accepted version is.
 func (s *EntrySnapshot) Version() uint64 { return s.version }
 
+// Configured says whether any configuration is in force; with version zero it is the initial text of the settings.
+func (s *EntrySnapshot) Configured() bool { return s.configured }
+
 // Draining says whether the entry refuses new jobs.
 func (s *EntrySnapshot) Draining() bool { return s.draining }
 
@@ -234,9 +238,9 @@
 	return ask(e.duty, func(time.Time) *EntrySnapshot {
 		d := e.dispatcher
 		return &EntrySnapshot{
-			identity: e.identity, version: e.version(), draining: d.draining, running: len(d.deadlines), records: len(d.jobs),
-			bytes: d.bytes, forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters,
-			ring: e.duty.snapshot(),
+			identity: e.identity, version: e.version(), configured: d.Configuration() != nil, draining: d.draining,
+			running: len(d.deadlines), records: len(d.jobs), bytes: d.bytes,
+			forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters, ring: e.duty.snapshot(),
 		}
 	})
 }
@@ -253,12 +257,12 @@
 	})
 }
 
-// TroubledWorkers returns a copy of the view of each worker that is lost or not in good health, in no order, or ErrStopped;
-// it holds up the duty for far less time than Workers when most workers are well.
+// TroubledWorkers returns a copy of the view of each worker that is lost, without endpoint, or not in good health, in no
+// order, or ErrStopped; it holds up the duty for far less time than Workers when most workers are well.
 func (e *Entry) TroubledWorkers() ([]hibiscusstate.Worker, error) {
 	return ask(e.duty, func(time.Time) []hibiscusstate.Worker {
 		return e.dispatcher.workerSnapshots(func(w *hibiscusstate.Worker) bool {
-			return !w.Connected() || w.Health() != hibiscusstate.HealthGood
+			return !w.Connected() || w.Slots() == 0 || w.Health() != hibiscusstate.HealthGood
 		})
 	})
 }
@@ -275,18 +279,27 @@
 
 // MemberStates returns the entries that this one knows, itself included, in no order, or ErrStopped.
 func (e *Entry) MemberStates() ([]MemberSnapshot, error) {
-	return ask(e.duty, func(time.Time) []MemberSnapshot {
-		members := []MemberSnapshot{}
-		for _, m := range e.memberList() {
-			members = append(members, MemberSnapshot{member: m, connected: true, self: m.incarnation == e.identity.incarnation})
-		}
-		for _, m := range e.members.all() {
-			if e.peers[m.incarnation] == nil && m.incarnation != e.identity.incarnation {
-				members = append(members, MemberSnapshot{member: m})
-			}
+	connected, err := ask(e.duty, func(time.Time) []Member { return e.memberList() })
+	if err != nil {
+		return nil, err
+	}
+	known, err := e.Members()
+	if err != nil {
+		return nil, err
+	}
+	states := []MemberSnapshot{}
+	listed := map[hibiscusstate.Incarnation]bool{}
+	for _, m := range connected {
+		listed[m.incarnation] = true
+		states = append(states, MemberSnapshot{member: m, connected: true, self: m.incarnation == e.identity.incarnation})
+	}
+	for _, m := range known {
+		if !listed[m.incarnation] {
+			listed[m.incarnation] = true
+			states = append(states, MemberSnapshot{member: m})
 		}
-		return members
-	})
+	}
+	return states, nil
 }
 
 func (d *Dispatcher) serviceSnapshots(now time.Time) []ServiceSnapshot {
