--- a/hibiscuscapacity/decisions.go
+++ b/hibiscuscapacity/decisions.go
@@ -112,7 +112,7 @@
 	return newSlope("admission of a job of one task", "ns", "team", teamCounts, values), nil
 }
 
-// Measure returns all slopes; it takes about two minutes.
+// Measure returns all slopes; it takes about three minutes.
 func Measure(ctx context.Context) ([]Slope, error) {
 	slopes, err := measurePush()
 	if err != nil {
