--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -92,7 +92,7 @@
 		// Without this a worker that was full of other entries' tasks would look full for good, because nothing is sent
 		// to it and so no report comes back. One slot is enough to find out; halving the others' tasks on every worker
 		// instead made a fifth of the tasks bounce.
-		w.Report(max(w.Others()+w.Free()-1, 0), 0, now)
+		w.Report(max(w.Others()+w.Free()-1, 0), w.Waiting(), now)
 	}
 	a.pool.heap.Update(w)
 }
@@ -133,3 +133,34 @@
 func (d *Dispatcher) Idle() bool { return len(d.deadlines) == 0 }
 
 func hibiscusstateIsExpired(err error) bool { return errors.Is(err, hibiscusstate.ErrKeyExpired) }
+
+// deadlineHeap orders running jobs by when their time is up.
+type deadlineHeap []*jobRecord
+
+func (h deadlineHeap) Len() int { return len(h) }
+
+func (h deadlineHeap) Less(a, b int) bool {
+	return h[a].due().Before(h[b].due())
+}
+
+func (h deadlineHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].index = a
+	h[b].index = b
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	r := x.(*jobRecord)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return r
+}
