Prove that a refused submission leaves nothing behind

A golden session of an entry's decisions checks for no_workers, over_quota, too_late, queue_full and draining that the refusal says not run, and that no record, used key or order is left.

--- /dev/null
+++ b/hibiscuscoordination/refusals_test.go
@@ -0,0 +1,61 @@
+package hibiscuscoordination
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// TestDispatcherRefusals guards against a submission that is refused as not run and leaves something behind: a record, a
+// used key, or an order to a worker. The refusals are those that a full, busy or stopping entry gives.
+func TestDispatcherRefusals(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	ordered := map[hibiscusstate.SubmissionKey]bool{}
+	d := NewDispatcher(1, NewDispatcherSeams(
+		func(_ hibiscusstate.Incarnation, m Message) bool {
+			for _, o := range m.Orders() {
+				ordered[o.ID().Key()] = true
+			}
+			return true
+		},
+		func(Event) {}, func(time.Duration) time.Duration { return 0 }))
+	d.Configure(now, hibiscusstate.NewConfiguration(1, "", hibiscusstate.NewDocument(
+		[]hibiscusstate.Service{hibiscusstate.NewService("checks", nil, []hibiscusstate.Kind{
+			hibiscusstate.NewKind("check", false, true, 100*time.Millisecond, time.Hour),
+		})},
+		[]hibiscusstate.Team{hibiscusstate.NewTeam("small", 10, 100), hibiscusstate.NewTeam("large", 90, 0)})))
+	lines := []string{}
+	submit := func(name, team string, tasks int, deadline time.Duration) {
+		key := d.IssueKeys(1)[0]
+		d.Submit(now, NewSubmission(key, 1, team, "checks", checks(tasks)).WithBudget(deadline), func(a *Answer) {
+			used, err := d.window.Used(key.Sequence())
+			d.Flush(now)
+			lines = append(lines, fmt.Sprintf("%s: %s, not run %t; record %t, key used %t, ordered %t, error %v",
+				name, a.Refusal(), a.NotRun(), d.jobs[key] != nil, used, ordered[key], err))
+		})
+	}
+	submit("no workers", "small", 1, time.Hour)
+	hello := NewHello(RoleAgent, 9, "10.0.2.1:7300", "a", 1, Capacity{})
+	d.WorkerUp(now, hello)
+	d.Capacity(now, 9, NewCapacity("checks", 2, false, 1))
+	submit("admitted", "small", 90, 24*time.Hour)
+	submit("over quota", "small", 50, 24*time.Hour)
+	submit("too late", "large", 1800, time.Second)
+	for range 55 {
+		d.Submit(now, NewSubmission(d.IssueKeys(1)[0], 1, "large", "checks", checks(maxTasks)).WithBudget(24*time.Hour), func(*Answer) {})
+	}
+	submit("queue full", "large", 1800, 24*time.Hour)
+	d.Drain()
+	submit("draining", "large", 1, 24*time.Hour)
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "dispatcher_refusals", []byte(strings.Join(lines, "\n")+"\n"))
+}
+
+func checks(n int) []hibiscusstate.TaskSpec {
+	return slices.Repeat([]hibiscusstate.TaskSpec{hibiscusstate.NewTaskSpec("check", nil, 0)}, n)
+}
