Refuse a text on which the YAML library panics

Cause: goccy/go-yaml 1.19.2 dereferences nil for a tag in the place of a list ("depends_on: !00"). An operator's text, a settings file or a configuration frame from another process could end the process. Found by FuzzParseText after 4 s.

Ruled out: the strict option; the panic is in the decoder's slice path.

Before / after: go test ./hibiscusprotocol -run FuzzParseText with the input found panicked and passes now.

Conclusion: decoding goes through one function that turns a panic into an error.

--- a/hibiscusprotocol/settings.go
+++ b/hibiscusprotocol/settings.go
@@ -91,7 +91,7 @@
 
 func parseSettings(name string, text []byte) (settingsFile, error) {
 	var file settingsFile
-	if err := yaml.UnmarshalWithOptions(text, &file, yaml.Strict()); err != nil {
+	if err := unmarshalYAML(text, &file); err != nil {
 		return file, errors.Mark(errors.Newf("%s: %s", name, yaml.FormatError(err, false, false)), ErrBadSettings)
 	}
 	if len(file.SharedKey) < minSecretBytes {
--- a/hibiscusprotocol/text.go
+++ b/hibiscusprotocol/text.go
@@ -47,7 +47,7 @@
 // ParseText returns the document of an operators' text; name stands for the file in errors, which are marked ErrBadText.
 func ParseText(name string, text []byte) (*hibiscusstate.Document, error) {
 	var d textDocument
-	if err := yaml.UnmarshalWithOptions(text, &d, yaml.Strict()); err != nil {
+	if err := unmarshalYAML(text, &d); err != nil {
 		return nil, errors.Mark(errors.Newf("%s: %s", name, yaml.FormatError(err, false, false)), ErrBadText)
 	}
 	services := make([]hibiscusstate.Service, len(d.Services))
