Name every error of a configuration text at once, with its place

Cause: ParseText stopped at the first error of the YAML reader and checked no names, references, cycles or bounds. Ruled out: unmarshalling and checking the result: positions are lost, and the unmarshaller stops at the first error. A kind that does not say idempotent is taken as not idempotent.

--- a/hibiscusprotocol/text.go
+++ b/hibiscusprotocol/text.go
@@ -1,10 +1,10 @@
 package hibiscusprotocol
 
 import (
-	"time"
+	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/goccy/go-yaml"
 
 	"hibiscusrouter/hibiscusstate"
 )
@@ -18,51 +18,24 @@
 //	      - {name: list_sync, idempotent: false, urgent: true, run_ms: 400, deadline_ms: 5000}
 //	teams:
 //	  - {name: nokkhao, share: 60, max_queued: 20000}
+//
+// A text with an error is never applied: every way in, including a frame from another process, goes through ParseText.
 
-type textDocument struct {
-	Services []textService `yaml:"services"`
-	Teams    []textTeam    `yaml:"teams"`
-}
-
-type textService struct {
-	Name      string     `yaml:"name"`
-	DependsOn []string   `yaml:"depends_on"`
-	Kinds     []textKind `yaml:"kinds"`
-}
-
-type textKind struct {
-	Name       string `yaml:"name"`
-	Idempotent bool   `yaml:"idempotent"`
-	Urgent     bool   `yaml:"urgent"`
-	RunMS      int64  `yaml:"run_ms"`
-	DeadlineMS int64  `yaml:"deadline_ms"`
-}
-
-type textTeam struct {
-	Name      string `yaml:"name"`
-	Share     int    `yaml:"share"`
-	MaxQueued int    `yaml:"max_queued"`
-}
-
-// ParseText returns the document of an operators' text; name stands for the file in errors, which are marked ErrBadText.
+// ParseText returns the document of an operators' text; name stands for the file in errors, which are marked ErrBadText and
+// name every problem on a line of its own.
 func ParseText(name string, text []byte) (*hibiscusstate.Document, error) {
-	var d textDocument
-	if err := yaml.UnmarshalWithOptions(text, &d, yaml.Strict()); err != nil {
-		return nil, errors.Mark(errors.Newf("%s: %s", name, yaml.FormatError(err, false, false)), ErrBadText)
-	}
-	services := make([]hibiscusstate.Service, len(d.Services))
-	for i, s := range d.Services {
-		kinds := make([]hibiscusstate.Kind, len(s.Kinds))
-		for j, k := range s.Kinds {
-			kinds[j] = hibiscusstate.NewKind(k.Name, k.Idempotent, k.Urgent, milliseconds(k.RunMS), milliseconds(k.DeadlineMS))
-		}
-		services[i] = hibiscusstate.NewService(s.Name, s.DependsOn, kinds)
+	d, problems := CheckText(text)
+	if len(problems) == 0 {
+		return d, nil
 	}
-	teams := make([]hibiscusstate.Team, len(d.Teams))
-	for i, t := range d.Teams {
-		teams[i] = hibiscusstate.NewTeam(t.Name, t.Share, t.MaxQueued)
-	}
-	return hibiscusstate.NewDocument(services, teams), nil
+	return nil, errors.Mark(errors.Newf("%s", formatProblems(name, problems)), ErrBadText)
 }
 
-func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+// formatProblems returns one line for each problem: file, line, column, message.
+func formatProblems(name string, problems []TextProblem) string {
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = fmt.Sprintf("%s:%d:%d: %s", name, p.line, p.column, p.message)
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/hibiscusprotocol/text_check.go
@@ -0,0 +1,384 @@
+package hibiscusprotocol
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// The check walks the syntax tree of the text instead of unmarshalling it, because an operator needs every error at once
+// with its position, and an unmarshaller stops at the first. Each reader of a value returns a usable zero value after it
+// noted a problem, so that the walk goes on.
+
+// The bounds of a text. A wrong unit (seconds for milliseconds, or the reverse) usually lands outside them.
+const (
+	maxTextBytes  = 1 << 20
+	maxNameLength = 63
+	maxRunTime    = time.Hour
+	maxDeadline   = 24 * time.Hour
+	maxShare      = 10_000
+	// maxQueuedBound is the number of tasks that wait at one entry for one service.
+	maxQueuedBound = 100_000
+)
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9_-]*$`)
+
+// TextProblem is one error of a text, with the place where it is, counted from one, and what was expected there.
+type TextProblem struct {
+	line    int
+	column  int
+	message string
+}
+
+// Line returns the line of the problem, from one.
+func (p TextProblem) Line() int { return p.line }
+
+// Column returns the column of the problem, from one.
+func (p TextProblem) Column() int { return p.column }
+
+// Message returns what is wrong and what was expected.
+func (p TextProblem) Message() string { return p.message }
+
+// CheckText returns the document of a text, or all its problems in the order of their places.
+func CheckText(text []byte) (*hibiscusstate.Document, []TextProblem) {
+	c := &textCheck{}
+	if len(text) > maxTextBytes {
+		c.at(1, 1, "the text has %d bytes; at most %d are allowed", len(text), maxTextBytes)
+		return nil, c.problems
+	}
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		c.syntax(err)
+		return nil, c.problems
+	}
+	d := c.document(file)
+	if len(c.problems) > 0 {
+		slices.SortStableFunc(c.problems, func(a, b TextProblem) int {
+			return cmp.Or(cmp.Compare(a.line, b.line), cmp.Compare(a.column, b.column))
+		})
+		return nil, c.problems
+	}
+	return d, nil
+}
+
+// textCheck collects the problems of one text, and where its names are.
+type textCheck struct {
+	problems     []TextProblem
+	services     []hibiscusstate.Service
+	dependencies []dependency
+}
+
+// dependency is one edge of the graph of services, with the place of the name that makes it.
+type dependency struct {
+	from string
+	to   string
+	node ast.Node
+}
+
+// field is one allowed name of a mapping, with what reads its value.
+type field struct {
+	name     string
+	required bool
+	read     func(ast.Node)
+}
+
+func (c *textCheck) at(line, column int, format string, args ...any) {
+	c.problems = append(c.problems, TextProblem{line: line, column: column, message: fmt.Sprintf(format, args...)})
+}
+
+func (c *textCheck) problem(n ast.Node, format string, args ...any) {
+	line, column := 1, 1
+	if token := n.GetToken(); token != nil {
+		line, column = token.Position.Line, token.Position.Column
+	}
+	c.at(line, column, format, args...)
+}
+
+func (c *textCheck) syntax(err error) {
+	var syntax yaml.Error
+	if errors.As(err, &syntax) && syntax.GetToken() != nil {
+		c.at(syntax.GetToken().Position.Line, syntax.GetToken().Position.Column, "the text is not YAML: %s", syntax.GetMessage())
+		return
+	}
+	c.at(1, 1, "the text is not YAML: %v", err)
+}
+
+func (c *textCheck) document(file *ast.File) *hibiscusstate.Document {
+	var teams []hibiscusstate.Team
+	bodies := 0
+	for _, d := range file.Docs {
+		if d.Body == nil {
+			continue
+		}
+		if bodies++; bodies > 1 {
+			c.problem(d.Body, "the text has a second document; expected one mapping with services and teams")
+			continue
+		}
+		serviceNames, teamNames := names{}, names{}
+		c.mapping(d.Body, "the text",
+			field{"services", true, func(n ast.Node) {
+				c.sequence(n, "services", func(item ast.Node) { c.service(item, serviceNames) })
+			}},
+			field{"teams", true, func(n ast.Node) {
+				c.sequence(n, "teams", func(item ast.Node) { teams = append(teams, c.team(item, teamNames)) })
+			}},
+		)
+		c.graph(serviceNames)
+	}
+	if bodies == 0 {
+		c.at(1, 1, "the text is empty; expected services and teams")
+	}
+	return hibiscusstate.NewDocument(c.services, teams)
+}
+
+func (c *textCheck) service(n ast.Node, known names) {
+	var name string
+	var dependsOn []string
+	var dependencyNodes []ast.Node
+	var kinds []hibiscusstate.Kind
+	kindNames, dependencyNames := names{}, names{}
+	c.mapping(n, "a service",
+		field{"name", true, func(n ast.Node) { name = c.name(n, "service", known) }},
+		field{"depends_on", false, func(n ast.Node) {
+			c.sequence(n, "depends_on", func(item ast.Node) {
+				if to := c.name(item, "dependency", dependencyNames); to != "" {
+					dependsOn = append(dependsOn, to)
+					dependencyNodes = append(dependencyNodes, item)
+				}
+			})
+		}},
+		field{"kinds", true, func(n ast.Node) {
+			c.sequence(n, "kinds", func(item ast.Node) { kinds = append(kinds, c.kind(item, kindNames)) })
+		}},
+	)
+	for i, to := range dependsOn {
+		c.dependencies = append(c.dependencies, dependency{from: name, to: to, node: dependencyNodes[i]})
+	}
+	c.services = append(c.services, hibiscusstate.NewService(name, dependsOn, kinds))
+}
+
+// kind reads a kind. One that does not say idempotent is taken as not idempotent, the safe reading.
+func (c *textCheck) kind(n ast.Node, known names) hibiscusstate.Kind {
+	var name string
+	var idempotent, urgent bool
+	var runTime, deadline time.Duration
+	var deadlineNode ast.Node
+	c.mapping(n, "a kind",
+		field{"name", true, func(n ast.Node) { name = c.name(n, "kind", known) }},
+		field{"idempotent", false, func(n ast.Node) { idempotent = c.boolean(n, "idempotent") }},
+		field{"urgent", false, func(n ast.Node) { urgent = c.boolean(n, "urgent") }},
+		field{"run_ms", true, func(n ast.Node) { runTime = milliseconds(c.integer(n, "run_ms", maxRunTime.Milliseconds())) }},
+		field{"deadline_ms", true, func(n ast.Node) {
+			deadlineNode = n
+			deadline = milliseconds(c.integer(n, "deadline_ms", maxDeadline.Milliseconds()))
+		}},
+	)
+	if deadline > 0 && deadline < runTime {
+		c.problem(deadlineNode, "deadline_ms %d is below run_ms %d; such a task could never be on time; expected %d to %d",
+			deadline.Milliseconds(), runTime.Milliseconds(), runTime.Milliseconds(), maxDeadline.Milliseconds())
+	}
+	return hibiscusstate.NewKind(name, idempotent, urgent, runTime, deadline)
+}
+
+func (c *textCheck) team(n ast.Node, known names) hibiscusstate.Team {
+	var name string
+	var share, maxQueued int64
+	c.mapping(n, "a team",
+		field{"name", true, func(n ast.Node) { name = c.name(n, "team", known) }},
+		field{"share", true, func(n ast.Node) { share = c.integer(n, "share", maxShare) }},
+		field{"max_queued", true, func(n ast.Node) { maxQueued = c.integer(n, "max_queued", maxQueuedBound) }},
+	)
+	return hibiscusstate.NewTeam(name, int(share), int(maxQueued))
+}
+
+// mapping reads the fields of a mapping, each once, and notes unknown, repeated and missing ones.
+func (c *textCheck) mapping(n ast.Node, what string, fields ...field) {
+	values, ok := mappingValues(n)
+	if !ok {
+		c.problem(n, "%s is %s; expected a mapping with %s", what, describe(n), fieldNames(fields))
+		return
+	}
+	seen := map[string]bool{}
+	for _, v := range values {
+		key := v.Key.GetToken().Value
+		i := slices.IndexFunc(fields, func(f field) bool { return f.name == key })
+		switch {
+		case i < 0:
+			c.problem(v.Key, "unknown field %q in %s; expected %s", key, what, fieldNames(fields))
+		case seen[key]:
+			c.problem(v.Key, "field %q is repeated in %s", key, what)
+		default:
+			fields[i].read(v.Value)
+		}
+		seen[key] = true
+	}
+	for _, f := range fields {
+		if f.required && !seen[f.name] {
+			c.problem(firstOf(n, values), "%s has no %s; expected %s", what, f.name, fieldNames(fields))
+		}
+	}
+}
+
+func (c *textCheck) sequence(n ast.Node, what string, read func(ast.Node)) {
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		c.problem(n, "%s is %s; expected a list", what, describe(n))
+		return
+	}
+	if len(s.Values) == 0 && what != "depends_on" {
+		c.problem(n, "%s is an empty list; expected at least one", what)
+	}
+	for _, item := range s.Values {
+		read(item)
+	}
+}
+
+// names holds where each name of a list was first used.
+type names map[string]ast.Node
+
+func (c *textCheck) name(n ast.Node, what string, known names) string {
+	s, ok := n.(*ast.StringNode)
+	if !ok || len(s.Value) > maxNameLength || !namePattern.MatchString(s.Value) {
+		c.problem(n, "%s name %s is not valid; expected a lower case letter, then letters, digits, _ or -, at most %d in all",
+			what, describe(n), maxNameLength)
+		return ""
+	}
+	if first := known[s.Value]; first != nil {
+		c.problem(n, "%s %q is repeated; it is first on line %d", what, s.Value, first.GetToken().Position.Line)
+		return s.Value
+	}
+	known[s.Value] = n
+	return s.Value
+}
+
+func (c *textCheck) boolean(n ast.Node, what string) bool {
+	b, ok := n.(*ast.BoolNode)
+	if !ok {
+		c.problem(n, "%s is %s; expected true or false", what, describe(n))
+		return false
+	}
+	return b.Value
+}
+
+// integer reads a whole number from one to most; zero stands for a value that was not valid.
+func (c *textCheck) integer(n ast.Node, what string, most int64) int64 {
+	value, err := strconv.ParseInt(strings.ReplaceAll(n.GetToken().Value, "_", ""), 10, 64)
+	if _, ok := n.(*ast.IntegerNode); !ok || err != nil {
+		c.problem(n, "%s is %s; expected a whole number from 1 to %d", what, describe(n), most)
+		return 0
+	}
+	if value < 1 || value > most {
+		c.problem(n, "%s is %d; expected a whole number from 1 to %d", what, value, most)
+		return 0
+	}
+	return value
+}
+
+// graph notes dependencies on unknown services and every cycle, once each, at the dependency that closes it.
+func (c *textCheck) graph(known names) {
+	edges := map[string][]dependency{}
+	for _, d := range c.dependencies {
+		if known[d.to] == nil {
+			c.problem(d.node, "service %q depends on unknown service %q; expected one of %s", d.from, d.to, listNames(known))
+			continue
+		}
+		edges[d.from] = append(edges[d.from], d)
+	}
+	done := map[string]bool{}
+	var path []string
+	var visit func(name string)
+	visit = func(name string) {
+		path = append(path, name)
+		for _, d := range edges[name] {
+			if i := slices.Index(path, d.to); i >= 0 {
+				c.problem(d.node, "services depend on each other in a cycle: %s", strings.Join(append(slices.Clone(path[i:]), d.to), " -> "))
+			} else if !done[d.to] {
+				visit(d.to)
+			}
+		}
+		path = path[:len(path)-1]
+		done[name] = true
+	}
+	for _, s := range c.services {
+		if !done[s.Name()] {
+			visit(s.Name())
+		}
+	}
+}
+
+func mappingValues(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}, true
+	default:
+		return nil, false
+	}
+}
+
+// firstOf returns the place of a mapping: its first key, because the token of a block mapping is its first colon.
+func firstOf(n ast.Node, values []*ast.MappingValueNode) ast.Node {
+	if len(values) == 0 {
+		return n
+	}
+	return values[0].Key
+}
+
+// describe says what a value is, for the sentence "x is ...".
+func describe(n ast.Node) string {
+	switch v := n.(type) {
+	case *ast.NullNode:
+		return "empty"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.AnchorNode, *ast.AliasNode:
+		return "an anchor or alias"
+	case *ast.StringNode:
+		return strconv.Quote(v.Value)
+	default:
+		return n.GetToken().Value
+	}
+}
+
+func fieldNames(fields []field) string {
+	list := make([]string, len(fields))
+	for i, f := range fields {
+		list[i] = f.name
+	}
+	return strings.Join(list, ", ")
+}
+
+// listNames returns the names in order, the first few only.
+func listNames(known names) string {
+	const shown = 8
+	list := make([]string, 0, len(known))
+	for name := range known {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	if len(list) > shown {
+		return strings.Join(list[:shown], ", ") + fmt.Sprintf(" and %d more", len(list)-shown)
+	}
+	return strings.Join(list, ", ")
+}
+
+// milliseconds returns a duration; values beyond the longest duration are cut to it.
+func milliseconds(ms int64) time.Duration {
+	const most = math.MaxInt64 / int64(time.Millisecond)
+	return time.Duration(min(max(ms, -most), most)) * time.Millisecond
+}
