--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -119,7 +119,7 @@
 	return NewHello(RoleAgent, a.identity.incarnation, a.identity.address, a.identity.domain, version, Capacity{})
 }
 
-// Members returns the entries that this agent has heard of.
+// Members returns the entries that this agent has a session to or has heard of.
 func (a *Agent) Members() ([]Member, error) {
 	return ask(a.duty, func(time.Time) []Member {
 		members := a.members.all()
@@ -144,6 +144,10 @@
 		}
 		a.entries[p.Hello().Incarnation()] = p
 		a.keeper.EntryUp(now, p.Hello().Incarnation())
+		if p.Hello().Version() < a.version() {
+			// An entry that restarts while the table is down gets its configuration back from its agents and peers.
+			p.Send(NewConfigurationMessage(a.configuration))
+		}
 		a.log.Info("session: peer connected", "role", p.Hello().Role().String(), "address", p.Hello().Address())
 	})
 }
@@ -185,7 +189,9 @@
 	case MessageRecover:
 		a.keeper.Recover(id, m.Request(), m.Key())
 	case MessageConfiguration:
-		a.configure(m.Configuration())
+		a.configure(p, m.Configuration())
+	case MessageInForce:
+		p.heardVersion(m.Version())
 	case MessageMembers:
 		a.members.learn(id, m.Members())
 	case MessageCapacity:
@@ -197,12 +203,17 @@
 	}
 }
 
-func (a *Agent) configure(c *hibiscusstate.Configuration) {
+// configure takes a version that an entry sent; the entries learn which one is in force here, also when it was not higher.
+func (a *Agent) configure(p *Peer, c *hibiscusstate.Configuration) {
 	if a.configuration != nil && c.Version() <= a.configuration.Version() {
+		p.Send(NewInForceMessage(a.version()))
 		return
 	}
 	a.configuration = c
 	a.log.Info("config: version in force", "version", c.Version())
+	for _, entry := range a.entries {
+		entry.Send(NewInForceMessage(a.version()))
+	}
 }
 
 func (a *Agent) version() uint64 {
--- /dev/null
+++ b/hibiscuscoordination/audit.go
@@ -0,0 +1,159 @@
+package hibiscuscoordination
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// The audit duty takes entries from the events of its process and writes them in groups, at most one transaction a second,
+// because hundreds of workers may leave and return within a second and the table takes a few hundred writes a second in all.
+// While the table is down, entries wait in the ring; beyond its capacity they are dropped and counted.
+
+const (
+	auditCapacity = 4096
+	auditBatch    = 256
+	auditPause    = time.Second
+	// auditKeep is how long audit rows stay in the table before they move to the object store.
+	auditKeep = 30 * 24 * time.Hour
+	// archivePause is the time between two looks at old rows; one batch moves at a look, so the share of the table's writes
+	// stays small.
+	archivePause = 10 * time.Minute
+)
+
+// AuditEntry is one line of the audit trail.
+type AuditEntry struct {
+	at          time.Time
+	who         string
+	from        string
+	what        string
+	fromVersion uint64
+	toVersion   uint64
+}
+
+// NewAuditEntry returns an entry: who did what and from where; the versions are zero unless the configuration changed.
+func NewAuditEntry(at time.Time, who, from, what string, fromVersion, toVersion uint64) AuditEntry {
+	return AuditEntry{at: at, who: who, from: from, what: what, fromVersion: fromVersion, toVersion: toVersion}
+}
+
+// At returns the time of the entry.
+func (a AuditEntry) At() time.Time { return a.at }
+
+// Who returns the operator or process that acted.
+func (a AuditEntry) Who() string { return a.who }
+
+// From returns the address that the act came from.
+func (a AuditEntry) From() string { return a.from }
+
+// What returns what happened, in one line.
+func (a AuditEntry) What() string { return a.what }
+
+// FromVersion returns the configuration version before the act.
+func (a AuditEntry) FromVersion() uint64 { return a.fromVersion }
+
+// ToVersion returns the configuration version after the act.
+func (a AuditEntry) ToVersion() uint64 { return a.toVersion }
+
+// Audit is the audit duty; Add is safe for concurrent use.
+type Audit struct {
+	ring    *hibiscusstate.Ring[AuditEntry]
+	write   func(ctx context.Context, entries []AuditEntry) error
+	archive func(ctx context.Context, before time.Time) (int, error)
+	dropped atomic.Uint64
+	stopped chan struct{}
+	stop    sync.Once
+	log     *slog.Logger
+}
+
+// NewAudit returns the duty; write stores entries in one transaction, and archive moves one batch of rows that are older
+// than a time to the object store and returns their number.
+func NewAudit(
+	write func(ctx context.Context, entries []AuditEntry) error,
+	archive func(ctx context.Context, before time.Time) (int, error), log *slog.Logger,
+) *Audit {
+	return &Audit{
+		ring: hibiscusstate.NewRing[AuditEntry](auditCapacity), write: write, archive: archive,
+		stopped: make(chan struct{}), log: log,
+	}
+}
+
+// Add queues an entry without waiting; it returns false and counts a drop when the table has been down for too long.
+func (a *Audit) Add(entry AuditEntry) bool {
+	if a.ring.TryPush(entry) {
+		return true
+	}
+	a.dropped.Add(1)
+	return false
+}
+
+// Dropped returns the number of entries that were never written.
+func (a *Audit) Dropped() uint64 { return a.dropped.Load() }
+
+// Run writes entries until Stop, and then those that are left, once.
+func (a *Audit) Run(ctx context.Context) {
+	batch := make([]AuditEntry, auditBatch)
+	for {
+		n, err := a.ring.PopBatch(batch, -1)
+		if err != nil {
+			return
+		}
+		a.writeGroup(ctx, batch[:n])
+		select {
+		case <-a.stopped:
+		case <-time.After(auditPause):
+		}
+	}
+}
+
+// writeGroup writes a group; a group that can't be written is tried again until the process stops, so that the ring fills
+// and the drops are counted there.
+func (a *Audit) writeGroup(ctx context.Context, group []AuditEntry) {
+	for {
+		err := a.write(ctx, group)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			a.dropped.Add(uint64(len(group)))
+			a.log.Warn("audit: entries lost at the end of the process", "entries", len(group), "cause", err.Error())
+			return
+		}
+		a.log.Warn("audit: entries wait for the table", "entries", len(group), "dropped", a.Dropped(), "cause", err.Error())
+		sleep(ctx, auditPause)
+	}
+}
+
+// Stop ends the duty after the entries that were added before.
+func (a *Audit) Stop() {
+	a.ring.Close()
+	a.stop.Do(func() { close(a.stopped) })
+}
+
+// RunArchive moves old rows to the object store, one batch at a time, until ctx is done.
+func (a *Audit) RunArchive(ctx context.Context) {
+	for sleep(ctx, archivePause/2+randomPart(archivePause)) {
+		n, err := a.archive(ctx, time.Now().Add(-auditKeep))
+		switch {
+		case err != nil:
+			a.log.Warn("audit: old entries stay in the table", "cause", err.Error())
+		case n > 0:
+			a.log.Info("audit: old entries moved to the object store", "entries", n)
+		}
+	}
+}
+
+// sleep waits for d and says whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/hibiscuscoordination/configuration.go
@@ -0,0 +1,238 @@
+package hibiscuscoordination
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// The configuration duty of an entry reads the pointer to the current version every second and puts a higher version in
+// force, which also pushes it to agents and other entries. An accepted version is thus in force within one poll and one
+// push, even when the entry that accepted it ends right after the acceptance.
+
+const (
+	configurationPoll = time.Second
+	// peerWait is how long a starting entry waits for the versions of its peers when the table does not answer.
+	peerWait = time.Second
+	// lostKeep is how long an agent whose session was lost still counts as a process that lacks a version: an agent that is
+	// cut off from one entry runs on, and an operator must not be told that its version is in force.
+	lostKeep = time.Minute
+)
+
+// Edit is a new text with the version that it was based on, and who sent it from where.
+type Edit struct {
+	base     uint64
+	text     string
+	document *hibiscusstate.Document
+	who      string
+	from     string
+}
+
+// NewEdit returns an edit; base is zero for the first text.
+func NewEdit(base uint64, text string, document *hibiscusstate.Document, who, from string) Edit {
+	return Edit{base: base, text: text, document: document, who: who, from: from}
+}
+
+// Base returns the version that the edit was based on.
+func (e Edit) Base() uint64 { return e.base }
+
+// Text returns the new text.
+func (e Edit) Text() string { return e.text }
+
+// Document returns the new text, parsed.
+func (e Edit) Document() *hibiscusstate.Document { return e.document }
+
+// Who returns the operator.
+func (e Edit) Who() string { return e.who }
+
+// From returns the address that the edit came from.
+func (e Edit) From() string { return e.from }
+
+// ProcessVersion is the version that one process has in force.
+type ProcessVersion struct {
+	role      Role
+	address   string
+	version   uint64
+	connected bool
+}
+
+// Role returns the role of the process.
+func (p ProcessVersion) Role() Role { return p.role }
+
+// Address returns where the process listens, host and port.
+func (p ProcessVersion) Address() string { return p.address }
+
+// Version returns the version in force, zero for none.
+func (p ProcessVersion) Version() uint64 { return p.version }
+
+// Connected says whether this entry has a session to the process; without one, the version is the last that was heard.
+func (p ProcessVersion) Connected() bool { return p.connected }
+
+// lostAgent is an agent whose session ended while it was not leaving.
+type lostAgent struct {
+	address string
+	version uint64
+	until   time.Time
+}
+
+// ConfigurationWatch is the configuration duty.
+type ConfigurationWatch struct {
+	entry   *Entry
+	current func(ctx context.Context) (uint64, error)
+	read    func(ctx context.Context, version uint64) (*hibiscusstate.Configuration, error)
+	log     *slog.Logger
+	down    bool
+}
+
+// NewConfigurationWatch returns the duty; current returns the number of the current version in the table, zero for none,
+// and read returns one version.
+func NewConfigurationWatch(
+	entry *Entry, current func(ctx context.Context) (uint64, error),
+	read func(ctx context.Context, version uint64) (*hibiscusstate.Configuration, error), log *slog.Logger,
+) *ConfigurationWatch {
+	return &ConfigurationWatch{entry: entry, current: current, read: read, log: log}
+}
+
+// Run polls until ctx is done. The entry gets ready after the first answer of the table, or after peerWait with whatever its
+// peers sent: the table may be down for hours, and the highest version among the peers is then the best that is known.
+func (w *ConfigurationWatch) Run(ctx context.Context) {
+	wait := time.AfterFunc(peerWait, w.entry.releaseReady)
+	defer wait.Stop()
+	ticker := time.NewTicker(configurationPoll)
+	defer ticker.Stop()
+	for {
+		if err := w.poll(ctx); err == nil {
+			w.entry.releaseReady()
+		}
+		if w.entry.repeatConfiguration() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *ConfigurationWatch) poll(ctx context.Context) error {
+	c, err := w.higher(ctx)
+	if err != nil {
+		if !w.down && ctx.Err() == nil {
+			w.log.Warn("config: table does not answer, the version in force stays", "cause", err.Error())
+		}
+		w.down = true
+		return err
+	}
+	if w.down {
+		w.log.Info("config: table answers again")
+		w.down = false
+	}
+	if c == nil {
+		return nil
+	}
+	return w.entry.Configure(c)
+}
+
+// higher returns the table's version when it is above the one in force.
+func (w *ConfigurationWatch) higher(ctx context.Context) (*hibiscusstate.Configuration, error) {
+	version, err := w.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	inForce, err := w.entry.Configuration()
+	if err != nil || version == 0 || inForce != nil && inForce.Version() >= version {
+		return nil, err
+	}
+	return w.read(ctx, version)
+}
+
+// HoldReady keeps the entry from being ready until the configuration duty has asked the table or waited for peers.
+func (e *Entry) HoldReady() error {
+	return e.duty.do(func(time.Time) { e.held = true })
+}
+
+func (e *Entry) releaseReady() {
+	// The error says that the process is stopping, which makes readiness irrelevant.
+	_ = e.duty.do(func(time.Time) { e.held = false })
+}
+
+// repeatConfiguration sends the version in force to every process that reported a lower one. This covers a push that found
+// the session's writer full, and versions learned from another entry, which are not pushed at once.
+func (e *Entry) repeatConfiguration() error {
+	return e.duty.do(func(now time.Time) {
+		maps.DeleteFunc(e.lost, func(_ hibiscusstate.Incarnation, a lostAgent) bool { return now.After(a.until) })
+		e.pushConfiguration()
+	})
+}
+
+func (e *Entry) pushConfiguration() {
+	c := e.dispatcher.Configuration()
+	if c == nil {
+		return
+	}
+	for _, p := range e.agents {
+		if p.version < c.Version() {
+			p.Send(NewConfigurationMessage(c))
+		}
+	}
+	for _, sessions := range e.peers {
+		if p := sessions[0]; p.version < c.Version() {
+			p.Send(NewConfigurationMessage(c))
+		}
+	}
+}
+
+// learnConfiguration takes a version that another process sent. It is not pushed on at once: the sender pushes it to all,
+// and twelve entries that each push every text to every agent would send it twelve times.
+func (e *Entry) learnConfiguration(now time.Time, p *Peer, c *hibiscusstate.Configuration) {
+	e.heardVersion(p, c.Version())
+	if !e.adopt(now, c) {
+		p.Send(NewInForceMessage(e.version()))
+	}
+}
+
+// heardVersion remembers which version a process has in force, on all sessions to it.
+func (e *Entry) heardVersion(p *Peer, version uint64) {
+	p.heardVersion(version)
+	for _, session := range e.peers[p.Hello().Incarnation()] {
+		session.heardVersion(version)
+	}
+}
+
+// rememberLost keeps what is known about an agent whose session ended, unless the agent left as planned.
+func (e *Entry) rememberLost(now time.Time, p *Peer) {
+	if !p.leaving {
+		e.lost[p.Hello().Incarnation()] = lostAgent{address: p.Hello().Address(), version: p.version, until: now.Add(lostKeep)}
+	}
+}
+
+// forgetLost forgets the agents that were lost at an address where an agent is connected again, also after its restart.
+func (e *Entry) forgetLost(address string) {
+	maps.DeleteFunc(e.lost, func(_ hibiscusstate.Incarnation, a lostAgent) bool { return a.address == address })
+}
+
+// Processes returns the version in force in every process that this entry knows, itself first.
+func (e *Entry) Processes() ([]ProcessVersion, error) {
+	return ask(e.duty, func(time.Time) []ProcessVersion {
+		list := []ProcessVersion{{role: RoleEntry, address: e.identity.address, version: e.version(), connected: true}}
+		for _, sessions := range e.peers {
+			list = append(list, ProcessVersion{RoleEntry, sessions[0].Hello().Address(), sessions[0].version, true})
+		}
+		for _, m := range e.members.expected() {
+			if e.peers[m.incarnation] == nil && m.incarnation != e.identity.incarnation {
+				list = append(list, ProcessVersion{role: RoleEntry, address: m.Address()})
+			}
+		}
+		for _, p := range e.agents {
+			list = append(list, ProcessVersion{RoleAgent, p.Hello().Address(), p.version, true})
+		}
+		for _, a := range e.lost {
+			list = append(list, ProcessVersion{role: RoleAgent, address: a.address, version: a.version})
+		}
+		return list
+	})
+}
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -25,10 +25,12 @@
 	agents      map[hibiscusstate.Incarnation]*Peer
 	peers       map[hibiscusstate.Incarnation][]*Peer
 	members     *memberLists
+	lost        map[hibiscusstate.Incarnation]lostAgent
 	forwards    map[uint64]*forward
 	recoveries  map[hibiscusstate.SubmissionKey]*recovery
 	drains      map[hibiscusstate.Incarnation]*drainRequest
 	lastRequest uint64
+	held        bool
 	configured  time.Time
 	ready       bool
 	event       func(Event)
@@ -70,6 +72,7 @@
 		agents:     map[hibiscusstate.Incarnation]*Peer{},
 		peers:      map[hibiscusstate.Incarnation][]*Peer{},
 		members:    newMemberLists(),
+		lost:       map[hibiscusstate.Incarnation]lostAgent{},
 		forwards:   map[uint64]*forward{},
 		recoveries: map[hibiscusstate.SubmissionKey]*recovery{},
 		drains:     map[hibiscusstate.Incarnation]*drainRequest{},
@@ -120,7 +123,7 @@
 func (e *Entry) Ready() bool {
 	ready, err := ask(e.duty, func(now time.Time) bool {
 		c := e.dispatcher.Configuration()
-		if c == nil || e.dispatcher.draining {
+		if c == nil || e.held || e.dispatcher.draining {
 			return false
 		}
 		if !e.ready {
@@ -216,15 +219,26 @@
 	e.dispatcher.Submit(now, s, withKey)
 }
 
+// configure puts a version in force that came from the table or an operator, and pushes it to all who have a lower one.
 func (e *Entry) configure(now time.Time, c *hibiscusstate.Configuration) {
+	if e.adopt(now, c) {
+		e.pushConfiguration()
+	}
+}
+
+// adopt puts a version in force when it is higher, and tells the other entries that it is.
+func (e *Entry) adopt(now time.Time, c *hibiscusstate.Configuration) bool {
 	if !e.dispatcher.Configure(now, c) {
-		return
+		return false
 	}
 	if e.configured.IsZero() {
 		e.configured = now
 	}
 	e.log.Info("config: version in force", "version", c.Version())
-	e.tellAll(NewConfigurationMessage(c))
+	for _, sessions := range e.peers {
+		sessions[0].Send(NewInForceMessage(c.Version()))
+	}
+	return true
 }
 
 // tellAll sends a message to all agents, and to each entry once.
@@ -249,6 +263,7 @@
 			former.Close()
 		}
 		e.agents[hello.Incarnation()] = p
+		e.forgetLost(hello.Address())
 		e.dispatcher.WorkerUp(now, hello)
 		e.recoveryFound(hello.Incarnation(), p)
 	case RoleEntry:
@@ -269,6 +284,7 @@
 			return
 		}
 		delete(e.agents, hello.Incarnation())
+		e.rememberLost(now, p)
 		e.dispatcher.WorkerDown(now, hello.Incarnation())
 		e.answerDrain(hello.Incarnation(), ErrNoAnswer)
 		e.recoveryLost(now, hello.Incarnation())
@@ -304,6 +320,7 @@
 	case MessageReports:
 		e.dispatcher.Reports(now, id, m.Reports())
 	case MessageCapacity:
+		p.leaving = m.Capacity().Leaving()
 		e.dispatcher.Capacity(now, id, m.Capacity())
 		if m.Capacity().Leaving() {
 			// An empty stop message behind the last orders tells the agent that no order is under way to it.
@@ -318,7 +335,9 @@
 	case MessageForwarded:
 		e.forwardAnswered(m)
 	case MessageConfiguration:
-		e.configure(now, m.Configuration())
+		e.learnConfiguration(now, p, m.Configuration())
+	case MessageInForce:
+		e.heardVersion(p, m.Version())
 	case MessageMembers:
 		e.members.learn(id, m.Members())
 	case MessageHello, MessagePing, MessagePong:
--- a/hibiscuscoordination/members.go
+++ b/hibiscuscoordination/members.go
@@ -17,9 +17,10 @@
 	isolatedRetention = 10 * time.Minute
 )
 
-// memberLists holds the latest list of each entry.
+// memberLists holds the latest list of each entry, and the latest reading of the table.
 type memberLists struct {
 	lists map[hibiscusstate.Incarnation]*memberList
+	table []Member
 }
 
 type memberList struct {
@@ -58,17 +59,30 @@
 	}
 }
 
+// expected returns the entries that should be running: those of the table, whose dead rows are taken out within 20 s, or
+// the listed ones before the first reading. An entry that died may stay listed for minutes.
+func (l *memberLists) expected() []Member {
+	if l.table != nil {
+		return l.table
+	}
+	return l.all()
+}
+
 // all returns the listed entries, each once.
 func (l *memberLists) all() []Member {
 	seen := map[hibiscusstate.Incarnation]bool{}
 	members := []Member{}
-	for _, list := range l.lists {
-		for _, m := range list.members {
+	add := func(list []Member) {
+		for _, m := range list {
 			if !seen[m.Incarnation()] {
 				seen[m.Incarnation()] = true
 				members = append(members, m)
 			}
 		}
 	}
+	for _, list := range l.lists {
+		add(list.members)
+	}
+	add(l.table)
 	return members
 }
--- /dev/null
+++ b/hibiscuscoordination/membership.go
@@ -0,0 +1,216 @@
+package hibiscuscoordination
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// Membership finds entry processes through the table. Each entry keeps a row with a heartbeat counter. Readers consider it
+// dead when the counter stood still for a while of their own clock, so no clocks are compared. Rows serve discovery only:
+// a session to an entry that is considered dead stays open, and what is known stays in use while the table is down.
+
+const (
+	heartbeatPause = 5 * time.Second
+	heartbeatLimit = 15 * time.Second
+	// agentReadPause is the time between an agent's reads while it has sessions; member lists tell it about changes.
+	// 920 agents x 1 read / 60 s = 15 reads/s.
+	agentReadPause = time.Minute
+)
+
+// MemberRow is the row of an entry in the table.
+type MemberRow struct {
+	member  Member
+	version uint64
+}
+
+// NewMemberRow returns a row with its version in the table.
+func NewMemberRow(member Member, version uint64) MemberRow {
+	return MemberRow{member: member, version: version}
+}
+
+// Member returns the entry that the row describes.
+func (r MemberRow) Member() Member { return r.member }
+
+// Version returns the version of the row in the table, zero for a row that does not exist.
+func (r MemberRow) Version() uint64 { return r.version }
+
+// heartbeats judges which members are alive, by when their counters last changed on this process's clock.
+type heartbeats struct {
+	seen map[hibiscusstate.Incarnation]heartbeat
+	gap  bool
+}
+
+type heartbeat struct {
+	counter uint64
+	since   time.Time
+}
+
+// observe takes a reading of all rows and splits it into live and dead ones.
+func (h *heartbeats) observe(now time.Time, rows []MemberRow) (live, dead []MemberRow) {
+	seen := make(map[hibiscusstate.Incarnation]heartbeat, len(rows))
+	for _, r := range rows {
+		last, ok := h.seen[r.member.incarnation]
+		if !ok || h.gap || last.counter != r.member.heartbeat {
+			last = heartbeat{counter: r.member.heartbeat, since: now}
+		}
+		seen[r.member.incarnation] = last
+		if now.Sub(last.since) < heartbeatLimit {
+			live = append(live, r)
+		} else {
+			dead = append(dead, r)
+		}
+	}
+	h.seen, h.gap = seen, false
+	return live, dead
+}
+
+// missed takes a reading that failed. While the table is down no counter moves, so the next reading starts all clocks anew;
+// otherwise every member would be considered dead at the end of an outage.
+func (h *heartbeats) missed() { h.gap = true }
+
+// MembershipSeams are the function fields through which the membership duty reaches the table.
+type MembershipSeams struct {
+	list   func(ctx context.Context) ([]MemberRow, error)
+	put    func(ctx context.Context, row MemberRow) error
+	remove func(ctx context.Context, row MemberRow) error
+}
+
+// NewMembershipSeams returns the seams: list reads all rows, put writes a row over the given version, and remove deletes a
+// row of the given version.
+func NewMembershipSeams(
+	list func(ctx context.Context) ([]MemberRow, error),
+	put, remove func(ctx context.Context, row MemberRow) error,
+) MembershipSeams {
+	return MembershipSeams{list: list, put: put, remove: remove}
+}
+
+// Membership is the membership duty of a process.
+type Membership struct {
+	seams MembershipSeams
+	known heartbeats
+	log   *slog.Logger
+}
+
+// NewMembership returns the duty.
+func NewMembership(seams MembershipSeams, log *slog.Logger) *Membership {
+	return &Membership{seams: seams, log: log}
+}
+
+// RunEntry keeps the entry's own row, tells the entry about the others, and removes the rows of dead ones, until ctx is
+// done; then it removes its own row.
+func (m *Membership) RunEntry(ctx context.Context, e *Entry) {
+	var own MemberRow
+	for ctx.Err() == nil {
+		if row, err := m.beat(ctx, e); err == nil {
+			own = row
+		} else if ctx.Err() == nil {
+			m.known.missed()
+			m.log.Warn("membership: table does not answer, known entries stay in use", "cause", err.Error())
+		}
+		sleep(ctx, heartbeatPause)
+	}
+	m.leave(own)
+}
+
+// beat reads all rows and writes the own one with a higher counter; it returns the own row as read.
+func (m *Membership) beat(ctx context.Context, e *Entry) (MemberRow, error) {
+	rows, err := m.seams.list(ctx)
+	if err != nil {
+		return MemberRow{}, err
+	}
+	id := e.identity
+	own := NewMemberRow(NewMember(id.incarnation, id.address, id.domain, 0), 0)
+	for _, r := range rows {
+		if r.member.incarnation == id.incarnation {
+			own = r
+		}
+	}
+	live, dead := m.known.observe(time.Now(), rows)
+	m.removeDead(ctx, id.incarnation, live, dead)
+	if err := e.SetMembers(membersOf(live)); err != nil {
+		return own, err
+	}
+	next := NewMember(id.incarnation, id.address, id.domain, own.member.heartbeat+1)
+	return own, m.seams.put(ctx, NewMemberRow(next, own.version))
+}
+
+// removeDead deletes the rows of dead entries. Only the live entry with the lowest incarnation does so, because twelve
+// deletes of the same row would be eleven conflicts.
+func (m *Membership) removeDead(ctx context.Context, own hibiscusstate.Incarnation, live, dead []MemberRow) {
+	for _, r := range live {
+		if r.member.incarnation < own {
+			return
+		}
+	}
+	for _, r := range dead {
+		if r.member.incarnation == own {
+			continue
+		}
+		if err := m.seams.remove(ctx, r); err != nil {
+			m.log.Warn("membership: row of a dead entry stays", "address", r.member.address, "cause", err.Error())
+			continue
+		}
+		m.log.Info("membership: row of a dead entry removed", "address", r.member.address)
+	}
+}
+
+// leave removes the own row at a planned stop, so that others need not wait until it counts as dead.
+func (m *Membership) leave(own MemberRow) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	rows, err := m.seams.list(ctx)
+	if err != nil {
+		return
+	}
+	for _, r := range rows {
+		if r.member.incarnation == own.member.incarnation {
+			// A row that stays is removed by another entry once its counter stood still.
+			_ = m.seams.remove(ctx, r)
+		}
+	}
+}
+
+// RunAgent tells the agent about the entries in the table until ctx is done.
+func (m *Membership) RunAgent(ctx context.Context, a *Agent) {
+	for ctx.Err() == nil {
+		if rows, err := m.seams.list(ctx); err != nil {
+			m.known.missed()
+		} else {
+			live, _ := m.known.observe(time.Now(), rows)
+			if a.setMembers(membersOf(live)) != nil {
+				return
+			}
+		}
+		pause := agentReadPause
+		if !a.connected() {
+			// Without a session no member list arrives; the reads are spread so that 920 agents don't ask at once.
+			pause = heartbeatPause/2 + randomPart(heartbeatPause)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func membersOf(rows []MemberRow) []Member {
+	members := make([]Member, len(rows))
+	for i, r := range rows {
+		members[i] = r.member
+	}
+	return members
+}
+
+// SetMembers takes the live entries of the table; they count until the next reading, also while the table is down.
+func (e *Entry) SetMembers(members []Member) error {
+	return e.duty.do(func(time.Time) { e.members.table = members })
+}
+
+func (a *Agent) setMembers(members []Member) error {
+	return a.duty.do(func(time.Time) { a.members.table = members })
+}
+
+func (a *Agent) connected() bool {
+	connected, err := ask(a.duty, func(time.Time) bool { return len(a.entries) > 0 })
+	return err == nil && connected
+}
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -27,6 +27,7 @@
 	MessageConfiguration                    // configuration
 	MessageMembers                          // members
 	MessageCapacity                         // capacity
+	MessageInForce                          // in_force
 )
 
 // Role says what a process is.
@@ -166,6 +167,11 @@
 	members       []Member
 }
 
+// NewInForceMessage returns a message that tells which configuration version is in force in the sender.
+func NewInForceMessage(version uint64) Message {
+	return Message{kind: MessageInForce, hello: Hello{version: version}}
+}
+
 // NewHelloMessage returns the first message of a session.
 func NewHelloMessage(hello Hello) Message { return Message{kind: MessageHello, hello: hello} }
 
@@ -239,6 +245,9 @@
 // Capacity returns the capacity of a hello or capacity message.
 func (m Message) Capacity() Capacity { return m.hello.capacity }
 
+// Version returns the configuration version of a hello or in-force message.
+func (m Message) Version() uint64 { return m.hello.version }
+
 // Orders returns the tasks of an orders message.
 func (m Message) Orders() []hibiscusstate.Order { return m.orders }
 
@@ -268,19 +277,24 @@
 
 // Peer is the other end of a session, as a duty uses it.
 type Peer struct {
-	hello Hello
-	send  func(Message) bool
-	close func()
+	hello   Hello
+	version uint64
+	leaving bool
+	send    func(Message) bool
+	close   func()
 }
 
 // NewPeer returns a peer; send never blocks and says whether the message was taken, and close ends the session.
 func NewPeer(hello Hello, send func(Message) bool, closeSession func()) *Peer {
-	return &Peer{hello: hello, send: send, close: closeSession}
+	return &Peer{hello: hello, version: hello.version, send: send, close: closeSession}
 }
 
 // Hello returns how the other end introduced itself.
 func (p *Peer) Hello() Hello { return p.hello }
 
+// heardVersion remembers the highest configuration version that the other end had in force; only the owning duty calls it.
+func (p *Peer) heardVersion(version uint64) { p.version = max(p.version, version) }
+
 // Send gives a message to the session's writer and says whether there was room.
 func (p *Peer) Send(m Message) bool { return p.send(m) }
 
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -60,6 +60,9 @@
 	var httpErr error
 	duties.Go(a.duty.Run)
 	links.Go(func() { connector.Reconcile(serving, a.wantedEntries) })
+	if a.settings.PlatformAddress() != "" {
+		duties.Go(func() { a.runMembership(serving) })
+	}
 	duties.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, l, r, httpGrace) })
 
 	<-ctx.Done()
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -30,6 +30,8 @@
 	settings hibiscusprotocol.EntrySettings
 	duty     *hibiscuscoordination.Entry
 	network  hibiscustransport.Network
+	bus      *hibiscustransport.Bus
+	platform *entryPlatform
 	log      *slog.Logger
 	leave    sync.Once
 	stopping atomic.Bool
@@ -44,14 +46,21 @@
 ) *Entry {
 	identity := hibiscuscoordination.NewIdentity(incarnation, settings.SessionAddress(), settings.FailureDomain()).
 		WithCaller(settings.CallerAddress())
+	bus := hibiscustransport.NewBus(log)
 	event := func(event hibiscuscoordination.Event) {
 		log.Info("audit: "+event.Kind().String(), "subject", event.Subject(), "cause", event.Cause())
+		bus.Publish(event)
 	}
-	return &Entry{
-		settings: settings, duty: hibiscuscoordination.NewEntry(identity, event, log), network: network, log: log,
+	e := &Entry{
+		settings: settings, duty: hibiscuscoordination.NewEntry(identity, event, log), network: network, bus: bus, log: log,
 		left:  make(chan struct{}),
 		table: func() hibiscuscoordination.TableCounters { return hibiscuscoordination.TableCounters{} },
 	}
+	if settings.PlatformAddress() != "" {
+		e.platform = newEntryPlatform(settings, e.duty, network, log)
+		e.table = e.platform.counters
+	}
+	return e
 }
 
 // Duty returns the dispatch duty of the process.
@@ -80,6 +89,10 @@
 		e.duty.Hello, e.duty.PeerUp, e.duty.PeerMessage, e.duty.PeerDown), e.log)
 	var duties, links, callersServed sync.WaitGroup
 	var httpErr error
+	if err := e.startPlatform(); err != nil {
+		return errors.CombineErrors(err, errors.CombineErrors(callers.Close(), sessions.Close()))
+	}
+	duties.Go(e.bus.Run)
 	duties.Go(e.duty.Run)
 	links.Go(func() { connector.Accept(linked, sessions) })
 	links.Go(func() { connector.Reconcile(linked, e.wantedPeers) })
@@ -89,6 +102,7 @@
 	e.drain()
 	stopServing()
 	callersServed.Wait()
+	e.stopPlatform()
 	stopSessions()
 	links.Wait()
 	e.duty.Stop()
@@ -133,6 +147,7 @@
 	drain := func(who, from string) { e.beginDrain("asked by " + who + " from " + from) }
 	hibiscusprotocol.NewAdminAPI(auth, e.duty, e.ready, drain).Mount(r)
 	hibiscusprotocol.NewEntryMetrics(e.duty, connector.Counters, e.table).MountEntry(r, auth)
+	e.configurationAPI(auth).Mount(r)
 	return r
 }
 
--- /dev/null
+++ b/hibiscusprocess/platform.go
@@ -0,0 +1,137 @@
+package hibiscusprocess
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol"
+	"hibiscusrouter/hibiscusstate"
+	"hibiscusrouter/hibiscustransport"
+)
+
+// What a process does through the platform's table service: an entry polls the configuration, keeps its member row and writes
+// its audit entries; an agent reads the member rows. A process without platform_address in its settings does none of it.
+
+const (
+	// tableConnections bounds the connections of a process to the table service.
+	tableConnections = 4
+	// auditGrace is how long a stopping entry tries to write its last audit entries.
+	auditGrace = 2 * time.Second
+)
+
+// entryPlatform holds the duties of an entry that use the table.
+type entryPlatform struct {
+	entry          *hibiscuscoordination.Entry
+	counters       func() hibiscuscoordination.TableCounters
+	configurations *hibiscusprotocol.ConfigurationStore
+	auditStore     *hibiscusprotocol.AuditStore
+	watch          *hibiscuscoordination.ConfigurationWatch
+	membership     *hibiscuscoordination.Membership
+	audit          *hibiscuscoordination.Audit
+	address        string
+	closeIdle      func()
+	cancel         context.CancelFunc
+	duties         sync.WaitGroup
+	auditDone      chan struct{}
+}
+
+func newEntryPlatform(
+	settings hibiscusprotocol.EntrySettings, entry *hibiscuscoordination.Entry, network hibiscustransport.Network, log *slog.Logger,
+) *entryPlatform {
+	client := hibiscustransport.NewHTTPClient(network, tableConnections)
+	table := hibiscusprotocol.NewTable(client, settings.PlatformAddress())
+	configurations := hibiscusprotocol.NewConfigurationStore(table)
+	auditStore := hibiscusprotocol.NewAuditStore(table)
+	return &entryPlatform{
+		entry: entry, counters: table.Counters, configurations: configurations, auditStore: auditStore, address: settings.SessionAddress(),
+		watch:      hibiscuscoordination.NewConfigurationWatch(entry, configurations.Current, configurations.Read, log),
+		membership: newMembership(table, log),
+		audit:      hibiscuscoordination.NewAudit(auditStore.Write, auditStore.Archive, log),
+		closeIdle:  client.CloseIdleConnections,
+		auditDone:  make(chan struct{}),
+	}
+}
+
+func newMembership(table *hibiscusprotocol.Table, log *slog.Logger) *hibiscuscoordination.Membership {
+	store := hibiscusprotocol.NewMemberStore(table)
+	return hibiscuscoordination.NewMembership(
+		hibiscuscoordination.NewMembershipSeams(store.List, store.Put, store.Remove), log)
+}
+
+// start runs the duties; the entry is not ready before the configuration duty has asked the table.
+func (p *entryPlatform) start(bus *hibiscustransport.Bus) error {
+	if err := p.entry.HoldReady(); err != nil {
+		return err
+	}
+	events, err := bus.Subscribe(p.recordEvent)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.duties.Go(func() {
+		defer p.audit.Stop()
+		events()
+	})
+	p.duties.Go(func() {
+		defer close(p.auditDone)
+		p.audit.Run(ctx)
+	})
+	p.duties.Go(func() { p.audit.RunArchive(ctx) })
+	p.duties.Go(func() { p.watch.Run(ctx) })
+	p.duties.Go(func() { p.membership.RunEntry(ctx, p.entry) })
+	return nil
+}
+
+// recordEvent turns an event into an audit entry; the audit duty counts those that it can't keep.
+func (p *entryPlatform) recordEvent(event hibiscuscoordination.Event) {
+	what := fmt.Sprintf("%s %s: %s", event.Kind(), event.Subject(), event.Cause())
+	p.audit.Add(hibiscuscoordination.NewAuditEntry(time.Now(), "entry", p.address, what, 0, 0))
+}
+
+// stop writes the last audit entries and ends the duties; the bus must have been stopped.
+func (p *entryPlatform) stop() {
+	grace := time.NewTimer(auditGrace)
+	defer grace.Stop()
+	select {
+	case <-p.auditDone:
+	case <-grace.C:
+	}
+	p.cancel()
+	p.duties.Wait()
+	p.closeIdle()
+}
+
+func (e *Entry) startPlatform() error {
+	if e.platform == nil {
+		return nil
+	}
+	return e.platform.start(e.bus)
+}
+
+func (e *Entry) stopPlatform() {
+	e.bus.Publish(hibiscuscoordination.NewEvent(
+		hibiscusstate.EventProcessStopped, e.settings.SessionAddress(), "the process stopped as planned"))
+	e.bus.Stop()
+	if e.platform != nil {
+		e.platform.stop()
+	}
+}
+
+func (e *Entry) configurationAPI(auth *hibiscusprotocol.AdminAuth) *hibiscusprotocol.ConfigurationAPI {
+	if e.platform == nil {
+		return hibiscusprotocol.NewConfigurationAPI(auth, nil, nil, e.duty.Configure, e.duty.Processes)
+	}
+	return hibiscusprotocol.NewConfigurationAPI(
+		auth, e.platform.configurations, e.platform.auditStore, e.duty.Configure, e.duty.Processes)
+}
+
+func (a *Agent) runMembership(ctx context.Context) {
+	client := hibiscustransport.NewHTTPClient(a.network, 1)
+	defer client.CloseIdleConnections()
+	newMembership(hibiscusprotocol.NewTable(client, a.settings.PlatformAddress()), a.log).RunAgent(ctx, a.duty)
+}
--- /dev/null
+++ b/hibiscusprotocol/audit_store.go
@@ -0,0 +1,165 @@
+package hibiscusprotocol
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscuscoordination"
+)
+
+// The audit trail: recent entries are rows whose keys sort by time, older ones are objects of many entries each. An object
+// is named after the first and the last row in it, so that two entries that archive the same rows write the same object. Rows are
+// deleted after their object is stored; a reader that meets both counts an entry once, by its key.
+
+const (
+	auditPrefix = "audit/"
+	// archiveBatch is how many rows move in one object and one transaction.
+	archiveBatch = 500
+)
+
+// AuditStore keeps the audit trail.
+type AuditStore struct {
+	table *Table
+}
+
+// NewAuditStore returns the audit trail that is in a table and its object store.
+func NewAuditStore(table *Table) *AuditStore { return &AuditStore{table: table} }
+
+type auditRow struct {
+	Time        time.Time `json:"time"`
+	Who         string    `json:"who"`
+	From        string    `json:"from"`
+	What        string    `json:"what"`
+	FromVersion uint64    `json:"from_version,omitempty"`
+	ToVersion   uint64    `json:"to_version,omitempty"`
+}
+
+// archivedRow is an audit row in an object.
+type archivedRow struct {
+	Key   string   `json:"key"`
+	Entry auditRow `json:"entry"`
+}
+
+func auditRowOf(e hibiscuscoordination.AuditEntry) auditRow {
+	return auditRow{
+		Time: e.At().UTC().Truncate(time.Millisecond), Who: e.Who(), From: e.From(), What: e.What(),
+		FromVersion: e.FromVersion(), ToVersion: e.ToVersion(),
+	}
+}
+
+func (r auditRow) entry() hibiscuscoordination.AuditEntry {
+	return hibiscuscoordination.NewAuditEntry(r.Time, r.Who, r.From, r.What, r.FromVersion, r.ToVersion)
+}
+
+// auditKey returns a key that sorts by time; the change id and the index in its transaction make it unique.
+func auditKey(at time.Time, changeID string, index int) string {
+	return fmt.Sprintf("%s%015d-%s-%04d", auditPrefix, at.UnixMilli(), changeID, index)
+}
+
+// Write stores entries in one transaction, or returns ErrPlatformUnavailable.
+func (s *AuditStore) Write(ctx context.Context, entries []hibiscuscoordination.AuditEntry) error {
+	tx := NewTransaction()
+	for i, e := range entries {
+		tx.Put(auditKey(e.At(), tx.body.ChangeID, i), encodeRow(auditRowOf(e)), 0)
+	}
+	return unavailable(s.table.Commit(ctx, tx))
+}
+
+// Archive moves the oldest rows from before a time to the object store, at most archiveBatch, and returns their number.
+func (s *AuditStore) Archive(ctx context.Context, before time.Time) (int, error) {
+	rows, err := s.table.Rows(ctx, auditPrefix, "", archiveBatch)
+	if err != nil {
+		return 0, unavailable(err)
+	}
+	limit := auditKey(before, "", 0)
+	rows = slices.DeleteFunc(rows, func(r Row) bool { return r.Key() >= limit })
+	if len(rows) == 0 {
+		return 0, nil
+	}
+	archived := make([]archivedRow, len(rows))
+	tx := NewTransaction()
+	for i, r := range rows {
+		archived[i].Key = r.Key()
+		if err := json.Unmarshal([]byte(r.Value()), &archived[i].Entry); err != nil {
+			return 0, unavailable(errors.Wrapf(err, "decode audit row %s", r.Key()))
+		}
+		tx.Delete(r.Key(), r.Version())
+	}
+	name := archived[0].Key + ".." + strings.TrimPrefix(archived[len(rows)-1].Key, auditPrefix)
+	if err := s.table.PutObject(ctx, name, []byte(encodeRow(archived))); err != nil {
+		return 0, unavailable(err)
+	}
+	err = s.table.Commit(ctx, tx)
+	if errors.Is(err, ErrRowChanged) {
+		// Another entry moved the same rows.
+		return 0, nil
+	}
+	return len(rows), unavailable(err)
+}
+
+// Read returns the newest entries, at most limit, newest first, from the table and the object store.
+func (s *AuditStore) Read(ctx context.Context, limit int) ([]hibiscuscoordination.AuditEntry, error) {
+	found := map[string]auditRow{}
+	rows, err := s.table.LastRows(ctx, auditPrefix, limit)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	for _, r := range rows {
+		var body auditRow
+		if err := json.Unmarshal([]byte(r.Value()), &body); err != nil {
+			return nil, unavailable(errors.Wrapf(err, "decode audit row %s", r.Key()))
+		}
+		found[r.Key()] = body
+	}
+	if len(found) < limit {
+		if err := s.readObjects(ctx, found, limit); err != nil {
+			return nil, unavailable(err)
+		}
+	}
+	return newest(found, limit), nil
+}
+
+// readObjects adds archived entries, from the newest object on, until there are enough.
+func (s *AuditStore) readObjects(ctx context.Context, found map[string]auditRow, limit int) error {
+	names, err := s.table.Objects(ctx, auditPrefix)
+	if err != nil {
+		return err
+	}
+	for _, name := range slices.Backward(names) {
+		content, _, err := s.table.Object(ctx, name)
+		if err != nil {
+			return err
+		}
+		var archived []archivedRow
+		if err := json.Unmarshal(content, &archived); err != nil {
+			return errors.Wrapf(err, "decode object %s", name)
+		}
+		for _, a := range archived {
+			found[a.Key] = a.Entry
+		}
+		if len(found) >= limit {
+			return nil
+		}
+	}
+	return nil
+}
+
+func newest(found map[string]auditRow, limit int) []hibiscuscoordination.AuditEntry {
+	keys := make([]string, 0, len(found))
+	for key := range found {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(b, a) })
+	entries := make([]hibiscuscoordination.AuditEntry, min(limit, len(keys)))
+	for i := range entries {
+		entries[i] = found[keys[i]].entry()
+	}
+	return entries
+}
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -107,6 +107,8 @@
 		b.Members = membersOut(m.Members())
 	case hibiscuscoordination.MessageCapacity:
 		b.Capacity = capacityOut(m.Capacity())
+	case hibiscuscoordination.MessageInForce:
+		b.InForce = hibiscuswire.InForce_builder{Version: m.Version()}.Build()
 	}
 	return b.Build()
 }
@@ -144,6 +146,8 @@
 		m = hibiscuscoordination.NewMembersMessage(in.members(f.GetMembers().GetMembers()))
 	case hibiscuswire.Frame_Capacity_case:
 		m = hibiscuscoordination.NewCapacityMessage(in.capacity(f.GetCapacity()))
+	case hibiscuswire.Frame_InForce_case:
+		m = hibiscuscoordination.NewInForceMessage(f.GetInForce().GetVersion())
 	case hibiscuswire.Frame_Body_not_set_case:
 		in.fail("frame has no body")
 	default:
--- /dev/null
+++ b/hibiscusprotocol/table.go
@@ -0,0 +1,327 @@
+package hibiscusprotocol
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscuscoordination"
+)
+
+// The Table is the client of the platform's transactional table service and object store.
+//
+// Every write is conditional on the versions of the rows it is based on and carries a unique change id. When the answer is
+// lost, the writer reads the change id back until the table answers. Only when the id is absent does it send the same
+// transaction again, under the same id, so that an earlier copy that is still on its way can't take effect a second time.
+
+const (
+	// tableTimeout bounds one request. Configuration must be in force within 4 s, so a read that hangs may take only one
+	// of the four polls.
+	tableTimeout = time.Second
+	// readBackPause is the time between two reads of a change id whose write got no answer.
+	readBackPause = 250 * time.Millisecond
+	// maxTableAnswer bounds an answer of the table service.
+	maxTableAnswer = 32 << 20
+)
+
+// Row is one row of the table; a version of zero stands for a row that does not exist.
+type Row struct {
+	key     string
+	value   string
+	version uint64
+}
+
+// Key returns the key of the row.
+func (r Row) Key() string { return r.key }
+
+// Value returns the value of the row.
+func (r Row) Value() string { return r.value }
+
+// Version returns how often the row was written.
+func (r Row) Version() uint64 { return r.version }
+
+// Transaction is a set of conditions and writes that takes effect whole or not at all.
+type Transaction struct {
+	body transactionRequest
+}
+
+// NewTransaction returns an empty transaction with a fresh change id.
+func NewTransaction() *Transaction {
+	id := make([]byte, 16)
+	// crypto/rand.Read never fails; the runtime ends the process instead.
+	_, _ = rand.Read(id)
+	return &Transaction{body: transactionRequest{ChangeID: hex.EncodeToString(id)}}
+}
+
+// Put writes a row whose present version must be the given one, zero for a row that must not exist.
+func (t *Transaction) Put(key, value string, version uint64) *Transaction {
+	t.body.Checks = append(t.body.Checks, checkRequest{Key: key, Version: version})
+	t.body.Writes = append(t.body.Writes, writeRequest{Key: key, Value: value})
+	return t
+}
+
+// Delete removes a row whose present version must be the given one.
+func (t *Transaction) Delete(key string, version uint64) *Transaction {
+	t.body.Checks = append(t.body.Checks, checkRequest{Key: key, Version: version})
+	t.body.Writes = append(t.body.Writes, writeRequest{Key: key, Delete: true})
+	return t
+}
+
+type transactionRequest struct {
+	ChangeID string         `json:"change_id"`
+	Checks   []checkRequest `json:"checks"`
+	Writes   []writeRequest `json:"writes"`
+}
+
+type checkRequest struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+type writeRequest struct {
+	Key    string `json:"key"`
+	Value  string `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+type rowBody struct {
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+type rowsBody struct {
+	Rows []rowBody `json:"rows"`
+}
+
+type changeBody struct {
+	Applied bool `json:"applied"`
+}
+
+type objectsBody struct {
+	Names []string `json:"names"`
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	client *http.Client
+	base   string
+	reads  atomic.Uint64
+	writes atomic.Uint64
+	failed atomic.Uint64
+}
+
+// NewTable returns a client for the table service at an address, host and port.
+func NewTable(client *http.Client, address string) *Table {
+	return &Table{client: client, base: "http://" + address}
+}
+
+// Counters returns the totals of requests that were sent, and of those that failed or got no answer.
+func (t *Table) Counters() hibiscuscoordination.TableCounters {
+	return hibiscuscoordination.NewTableCounters(t.reads.Load(), t.writes.Load(), t.failed.Load())
+}
+
+// Rows returns up to limit rows whose keys begin with prefix and come after another key, in the order of their keys;
+// it returns ErrTable when the table does not answer.
+func (t *Table) Rows(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	return t.rows(ctx, url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}})
+}
+
+// LastRows returns up to limit rows whose keys begin with prefix, in the reverse order of their keys; it returns ErrTable
+// when the table does not answer.
+func (t *Table) LastRows(ctx context.Context, prefix string, limit int) ([]Row, error) {
+	return t.rows(ctx, url.Values{"prefix": {prefix}, "order": {"descending"}, "limit": {strconv.Itoa(limit)}})
+}
+
+func (t *Table) rows(ctx context.Context, query url.Values) ([]Row, error) {
+	var body rowsBody
+	if err := t.getJSON(ctx, "/v1/rows?"+query.Encode(), &body); err != nil {
+		return nil, err
+	}
+	rows := make([]Row, len(body.Rows))
+	for i, r := range body.Rows {
+		rows[i] = Row{key: r.Key, value: r.Value, version: r.Version}
+	}
+	return rows, nil
+}
+
+// Row returns the row with a key, with version zero when there is none; it returns ErrTable when the table does not answer.
+func (t *Table) Row(ctx context.Context, key string) (Row, error) {
+	rows, err := t.Rows(ctx, key, "", 1)
+	if err != nil || len(rows) == 0 || rows[0].key != key {
+		return Row{key: key}, err
+	}
+	return rows[0], nil
+}
+
+// Commit carries out a transaction once. It returns ErrRowChanged when a condition does not hold, and ErrTable when the
+// table was known not to take it or when ctx ended before the table said whether it did (then also ErrOutcomeUnknown).
+func (t *Table) Commit(ctx context.Context, tx *Transaction) error {
+	raw, err := json.Marshal(tx.body)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "encode transaction"), ErrTable)
+	}
+	for {
+		status, err := t.send(ctx, http.MethodPost, "/v1/transactions", raw)
+		switch {
+		case err == nil && status == http.StatusOK:
+			return nil
+		case err == nil && status == http.StatusConflict:
+			return errors.Mark(errors.Newf("a row changed since it was read"), ErrRowChanged)
+		case err == nil && !mayHaveTakenEffect(status):
+			return errors.Mark(errors.Newf("the table service refused the write with status %d", status), ErrTable)
+		}
+		applied, err := t.readBack(ctx, tx.body.ChangeID)
+		if err != nil || applied {
+			return err
+		}
+	}
+}
+
+// mayHaveTakenEffect says whether an error status leaves the outcome of a write open. The platform refuses with 503 before it
+// takes a write; other server errors may come from something between it and this process.
+func mayHaveTakenEffect(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable
+}
+
+// readBack reads a change id until the table answers or ctx ends.
+func (t *Table) readBack(ctx context.Context, id string) (bool, error) {
+	for {
+		var change changeBody
+		err := t.getJSON(ctx, "/v1/changes/"+id, &change)
+		if err == nil {
+			return change.Applied, nil
+		}
+		select {
+		case <-ctx.Done():
+			return false, errors.Mark(errors.Wrapf(err, "outcome of change %s is unknown", id), ErrOutcomeUnknown)
+		case <-time.After(readBackPause):
+		}
+	}
+}
+
+// PutObject stores an object. The store takes no conditions, so the name must belong to this content only; a lost answer
+// is settled by reading the object back.
+func (t *Table) PutObject(ctx context.Context, name string, content []byte) error {
+	for {
+		status, err := t.send(ctx, http.MethodPut, "/v1/objects/"+name, content)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		if err == nil && !mayHaveTakenEffect(status) {
+			return errors.Mark(errors.Newf("the object store refused the write with status %d", status), ErrTable)
+		}
+		stored, err := t.readObjectBack(ctx, name)
+		if err != nil || bytes.Equal(stored, content) {
+			return err
+		}
+	}
+}
+
+// readObjectBack reads an object until the store answers or ctx ends; an object that does not exist reads as nil.
+func (t *Table) readObjectBack(ctx context.Context, name string) ([]byte, error) {
+	for {
+		stored, _, err := t.Object(ctx, name)
+		if err == nil {
+			return stored, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Mark(errors.Wrapf(err, "outcome of object %s is unknown", name), ErrOutcomeUnknown)
+		case <-time.After(readBackPause):
+		}
+	}
+}
+
+// Object returns the content of an object and whether it exists.
+func (t *Table) Object(ctx context.Context, name string) ([]byte, bool, error) {
+	status, content, err := t.get(ctx, "/v1/objects/"+name)
+	switch {
+	case err != nil:
+		return nil, false, err
+	case status == http.StatusNotFound:
+		return nil, false, nil
+	case status != http.StatusOK:
+		return nil, false, errors.Mark(errors.Newf("the object store answered with status %d", status), ErrTable)
+	}
+	return content, true, nil
+}
+
+// Objects returns the names of the objects that begin with prefix, in order.
+func (t *Table) Objects(ctx context.Context, prefix string) ([]string, error) {
+	var body objectsBody
+	err := t.getJSON(ctx, "/v1/objects?"+url.Values{"prefix": {prefix}}.Encode(), &body)
+	return body.Names, err
+}
+
+func (t *Table) getJSON(ctx context.Context, path string, v any) error {
+	status, raw, err := t.get(ctx, path)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Mark(errors.Newf("the table service answered with status %d", status), ErrTable)
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode the table service's answer"), ErrTable)
+	}
+	return nil
+}
+
+func (t *Table) get(ctx context.Context, path string) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, t.base+path, nil)
+	if err != nil {
+		return 0, nil, errors.Mark(err, ErrTable)
+	}
+	t.reads.Add(1)
+	response, err := t.client.Do(request)
+	if err != nil {
+		t.failed.Add(1)
+		return 0, nil, errors.Mark(errors.Wrap(err, "read from the table service"), ErrTable)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxTableAnswer))
+	if err != nil {
+		t.failed.Add(1)
+		return 0, nil, errors.Mark(errors.Wrap(err, "read from the table service"), ErrTable)
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		t.failed.Add(1)
+	}
+	return response.StatusCode, raw, nil
+}
+
+// send makes a write and returns its status; an error means that the write may have taken effect.
+func (t *Table) send(ctx context.Context, method, path string, body []byte) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, t.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Mark(err, ErrTable)
+	}
+	// Without GetBody, net/http does not send the body a second time on its own when a kept connection fails.
+	request.GetBody = nil
+	t.writes.Add(1)
+	response, err := t.client.Do(request)
+	if err != nil {
+		t.failed.Add(1)
+		return 0, errors.Mark(errors.Wrap(err, "write to the table service"), ErrTable)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxTableAnswer)); err != nil && response.StatusCode != http.StatusOK {
+		return 0, errors.Mark(errors.Wrap(err, "write to the table service"), ErrTable)
+	}
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/hibiscusprotocol/table_test.go
@@ -0,0 +1,196 @@
+package hibiscusprotocol_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol"
+	"hibiscusrouter/hibiscusstandin"
+	"hibiscusrouter/hibiscusstate"
+)
+
+const (
+	platformAddress = "10.0.0.1:7000"
+	smallText       = `services: [{name: photo, kinds: [{name: match, idempotent: true, run_ms: 10, deadline_ms: 100}]}]
+teams: [{name: nokkhao, share: 60, max_queued: 20000}]
+`
+)
+
+// bench is a table client and its platform in a bubble, with a transcript.
+type bench struct {
+	t        *testing.T
+	platform *hibiscusstandin.Platform
+	table    *hibiscusprotocol.Table
+	lose     int
+	onLost   func()
+	lines    strings.Builder
+	close    func()
+}
+
+func newBench(t *testing.T) *bench {
+	network := hibiscusstandin.NewMemoryNetwork(time.Millisecond)
+	l, err := network.Listen(platformAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, platform: hibiscusstandin.NewPlatform(), onLost: func() {}}
+	handler := b.platform.Handler()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			if lost := recover(); lost != nil {
+				b.onLost()
+				panic(lost)
+			}
+		}()
+		handler.ServeHTTP(w, r)
+	})}
+	go func() { _ = server.Serve(l) }()
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return network.Dial(ctx, address)
+	}}
+	b.table = hibiscusprotocol.NewTable(&http.Client{Transport: b.loseRequests(transport)}, platformAddress)
+	b.close = func() {
+		transport.CloseIdleConnections()
+		_ = server.Close()
+	}
+	return b
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// loseRequests drops the next b.lose writes before they reach the platform.
+func (b *bench) loseRequests(next http.RoundTripper) http.RoundTripper {
+	return roundTripper(func(r *http.Request) (*http.Response, error) {
+		if r.Method != http.MethodGet && b.lose > 0 {
+			b.lose--
+			return nil, io.ErrUnexpectedEOF
+		}
+		return next.RoundTrip(r)
+	})
+}
+
+func (b *bench) note(format string, args ...any) { fmt.Fprintf(&b.lines, format+"\n", args...) }
+
+// step makes one write under a fault and notes what came of it.
+func (b *bench) step(name string, write func(ctx context.Context) (string, error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	before, began := b.platform.Writes(), time.Now()
+	result, err := write(ctx)
+	if err != nil {
+		result = "error: " + err.Error()
+	}
+	b.note("  %s: %s; %d writes took effect, %d ms", name, result, b.platform.Writes()-before, time.Since(began).Milliseconds())
+}
+
+func (b *bench) rows(prefix string) int {
+	rows, err := b.table.Rows(context.Background(), prefix, "", 100)
+	if err != nil {
+		return -1
+	}
+	return len(rows)
+}
+
+// everyWrite makes each kind of write that the system makes; fault is called before each with its number of requests.
+func (b *bench) everyWrite(fault func(writes int)) {
+	configurations := hibiscusprotocol.NewConfigurationStore(b.table)
+	audit := hibiscusprotocol.NewAuditStore(b.table)
+	members := hibiscusprotocol.NewMemberStore(b.table)
+	document, err := hibiscusprotocol.ParseText("test", []byte(smallText))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for base := range uint64(2) {
+		fault(1)
+		b.step("accept a configuration", func(ctx context.Context) (string, error) {
+			edit := hibiscuscoordination.NewEdit(base, smallText, document, "operator Asha", "10.0.9.1")
+			c, err := configurations.Accept(ctx, time.Now(), edit, "test")
+			if err != nil {
+				return "", err
+			}
+			return fmt.Sprintf("version %d, %d version rows, %d audit rows",
+				c.Version(), b.rows("configuration/versions/"), b.rows("audit/")), nil
+		})
+	}
+	member := func() hibiscuscoordination.MemberRow {
+		rows, err := members.List(context.Background())
+		if err != nil || len(rows) != 1 {
+			return hibiscuscoordination.NewMemberRow(hibiscuscoordination.NewMember(7, "10.0.1.1:7200", "a", 0), 0)
+		}
+		return rows[0]
+	}
+	for heartbeat := range uint64(2) {
+		row := member()
+		fault(1)
+		b.step("write a member row", func(ctx context.Context) (string, error) {
+			m := hibiscuscoordination.NewMember(hibiscusstate.Incarnation(7), "10.0.1.1:7200", "a", heartbeat+1)
+			err := members.Put(ctx, hibiscuscoordination.NewMemberRow(m, row.Version()))
+			return fmt.Sprintf("heartbeat %d", member().Member().Heartbeat()), err
+		})
+	}
+	row := member()
+	fault(1)
+	b.step("remove a member row", func(ctx context.Context) (string, error) {
+		err := members.Remove(ctx, row)
+		return fmt.Sprintf("%d member rows", b.rows("members/")), err
+	})
+	fault(1)
+	b.step("write a group of audit entries", func(ctx context.Context) (string, error) {
+		entry := hibiscuscoordination.NewAuditEntry(time.Now(), "entry", "10.0.1.1:7200", "worker_out", 0, 0)
+		err := audit.Write(ctx, []hibiscuscoordination.AuditEntry{entry, entry})
+		return fmt.Sprintf("%d audit rows", b.rows("audit/")), err
+	})
+	fault(2)
+	b.step("move old audit entries to the object store", func(ctx context.Context) (string, error) {
+		n, err := audit.Archive(ctx, time.Now().Add(time.Hour))
+		entries, readErr := audit.Read(context.Background(), 100)
+		return fmt.Sprintf("%d moved, %d rows left, %d entries in the trail", n, b.rows("audit/"), len(entries)),
+			errors.CombineErrors(err, readErr)
+	})
+}
+
+// TestEveryWriteOnce guards against a write that is made twice, not at all, or reported as failed although it took effect,
+// when its answer is lost after it took effect, when the table is then down for 3 s, and when the request itself is lost.
+func TestEveryWriteOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var all strings.Builder
+		for _, fault := range []struct {
+			name string
+			set  func(b *bench, writes int)
+		}{
+			{"no fault", func(*bench, int) {}},
+			{"the answer is lost", func(b *bench, writes int) { b.platform.LoseAnswers(writes) }},
+			{"the answer is lost and the table is down for 3 s", func(b *bench, writes int) {
+				b.platform.LoseAnswers(writes)
+				b.onLost = func() {
+					b.platform.SetOutage(true)
+					time.AfterFunc(3*time.Second, func() { b.platform.SetOutage(false) })
+				}
+			}},
+			{"the request is lost", func(b *bench, writes int) { b.lose = writes }},
+		} {
+			b := newBench(t)
+			b.note("%s:", fault.name)
+			b.everyWrite(func(writes int) {
+				time.Sleep(4 * time.Second)
+				fault.set(b, writes)
+			})
+			b.close()
+			all.WriteString(b.lines.String())
+		}
+		goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "every_write", []byte(all.String()))
+	})
+}
--- a/hibiscusstandin/platform.go
+++ b/hibiscusstandin/platform.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 // slowness, and answers that are lost after the write took effect.
 //
 // A transaction carries a unique change id, conditions on row versions and writes; it takes effect whole or not at all.
+// Row versions come from one counter, so that a row that is deleted and written again never has an earlier version again.
 // The same change id takes effect once, and GET /v1/changes/{id} says whether it did.
 
 const (
@@ -30,6 +32,7 @@
 	objects  map[string][]byte
 	changes  map[string]bool
 	order    []string
+	version  uint64
 	faults   faultsBody
 	counters countersBody
 }
@@ -218,12 +221,13 @@
 	if len(conflicts) > 0 {
 		return transactionBody{Conflicts: conflicts}
 	}
+	p.version++
 	for _, write := range request.Writes {
 		if write.Delete {
 			delete(p.rows, write.Key)
 			continue
 		}
-		p.rows[write.Key] = row{value: write.Value, version: p.rows[write.Key].version + 1}
+		p.rows[write.Key] = row{value: write.Value, version: p.version}
 	}
 	p.counters.Writes++
 	p.counters.RowsWritten += uint64(len(request.Writes))
@@ -251,6 +255,8 @@
 func (p *Platform) getRows(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	after := r.URL.Query().Get("after")
+	// A missing or bad limit reads as zero, which stands for no limit.
+	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
 	p.mu.Lock()
 	p.counters.Reads++
 	body := rowsBody{Rows: []rowBody{}}
@@ -261,6 +267,12 @@
 	}
 	p.mu.Unlock()
 	slices.SortFunc(body.Rows, func(a, b rowBody) int { return strings.Compare(a.Key, b.Key) })
+	if r.URL.Query().Get("order") == "descending" {
+		slices.Reverse(body.Rows)
+	}
+	if limit > 0 && len(body.Rows) > limit {
+		body.Rows = body.Rows[:limit]
+	}
 	writeJSON(w, http.StatusOK, body)
 }
 
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -263,7 +263,8 @@
 		return true
 	case hibiscuscoordination.MessageHello, hibiscuscoordination.MessagePing, hibiscuscoordination.MessagePong,
 		hibiscuscoordination.MessageSettle, hibiscuscoordination.MessageRecover, hibiscuscoordination.MessageRecovered,
-		hibiscuscoordination.MessageConfiguration, hibiscuscoordination.MessageMembers, hibiscuscoordination.MessageCapacity:
+		hibiscuscoordination.MessageConfiguration, hibiscuscoordination.MessageMembers, hibiscuscoordination.MessageCapacity,
+		hibiscuscoordination.MessageInForce:
 		return false
 	}
 	return false
