Check, plan, apply, diff, revert and follow a configuration at the command line

Cause: operators had no way to change a running deployment. Ruled out: an apply that ends with the acceptance: the operator would not know when and where the version is in force. Conclusion: apply prints each process that has the version, or names those that it waits for and exits with 1.

--- /dev/null
+++ b/hibiscuscommand/plan.go
@@ -0,0 +1,63 @@
+package hibiscuscommand
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscusprotocol"
+)
+
+const planHelp = "Prints what a configuration text would change in services, kinds, dependencies and teams, and whom each " +
+	"change affects. Nothing is changed. Apply the text with --base and the version that plan prints to be sure that nobody " +
+	"changed anything in between."
+
+type planCommand struct {
+	env *environment
+	configurationFlags
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"configuration text, - for standard input"`
+	} `positional-args:"true" required:"true"`
+}
+
+type planView struct {
+	BaseVersion uint64       `json:"base_version"`
+	Changes     []changeView `json:"changes"`
+}
+
+type changeView struct {
+	Subject string `json:"subject"`
+	What    string `json:"what"`
+	Affects string `json:"affects"`
+}
+
+// Execute implements flags.Commander.
+func (c *planCommand) Execute([]string) error {
+	text, err := readFile(c.Args.File)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	after, err := hibiscusprotocol.ParseText(c.Args.File, text)
+	if err != nil {
+		return err
+	}
+	current, err := c.version(c.env, "current")
+	if err != nil {
+		return err
+	}
+	before, err := current.configuration()
+	if err != nil {
+		return err
+	}
+	view := planView{BaseVersion: current.Version, Changes: []changeView{}}
+	for _, change := range hibiscuscoordination.Plan(before.Document(), after) {
+		view.Changes = append(view.Changes, changeView{Subject: change.Subject(), What: change.What(), Affects: change.Affects()})
+	}
+	if c.Output == "json" {
+		return c.env.printJSON(view)
+	}
+	c.env.printf("%d changes to version %d\n", len(view.Changes), view.BaseVersion)
+	for _, change := range view.Changes {
+		c.env.printf("  %s: %s\n      affects %s\n", change.Subject, change.What, change.Affects)
+	}
+	return nil
+}
--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"os/signal"
 	"syscall"
 
@@ -33,6 +34,8 @@
 	ctx context.Context
 	out io.Writer
 	err io.Writer
+	// client reaches entries; nil stands for http.DefaultClient.
+	client *http.Client
 }
 
 func (e *environment) printf(format string, args ...any) { fmt.Fprintf(e.out, format, args...) }
@@ -50,15 +53,18 @@
 
 // RunContext is Run with a context that stops long-running commands gracefully.
 func RunContext(ctx context.Context, args []string, out, errOut io.Writer) int {
-	env := &environment{ctx: ctx, out: out, err: errOut}
+	return run(&environment{ctx: ctx, out: out, err: errOut}, args)
+}
+
+func run(env *environment, args []string) int {
 	parser := flags.NewNamedParser("hibiscusrouter", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "dispatcher for sub-second tasks"
 	if err := addCommands(parser, env); err != nil {
-		fmt.Fprintf(errOut, "hibiscusrouter: %v\n", err)
+		fmt.Fprintf(env.err, "hibiscusrouter: %v\n", err)
 		return exitUsage
 	}
 	_, err := parser.ParseArgs(args)
-	return exitCode(err, out, errOut)
+	return exitCode(err, env.out, env.err)
 }
 
 func exitCode(err error, out, errOut io.Writer) int {
@@ -98,6 +104,12 @@
 		{"platform", "run the stand-in for the platform's table service and object store", platformHelp, &platformCommand{env: env}},
 		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
+		{"check", "check a configuration text without an entry", checkHelp, &checkCommand{env: env}},
+		{"plan", "show what a configuration text would change", planHelp, &planCommand{env: env}},
+		{"apply", "apply a configuration text and wait until it is in force", applyHelp, &applyCommand{env: env}},
+		{"history", "show the audit trail", historyHelp, &historyCommand{env: env}},
+		{"diff", "show the difference between two configuration versions", diffHelp, &diffCommand{env: env}},
+		{"revert", "apply the text of an earlier configuration version", revertHelp, &revertCommand{env: env}},
 		{"measure", "measure the dispatch decisions against a baseline", measureHelp, &measureCommand{env: env}},
 		{"job", "print a job file like the users'", jobHelp, &jobCommand{env: env}},
 		{"load", "drive an entry and print its task throughput", loadHelp, &loadCommand{env: env}},
