--- a/hibiscusprotocol/yaml.go
+++ b/hibiscusprotocol/yaml.go
@@ -3,16 +3,27 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
 )
 
-// unmarshalYAML decodes a text into v and refuses unknown names. The library panics on some texts, for example on a tag in
-// the place of a list (goccy/go-yaml 1.19.2, found by FuzzParseText). Such a text may come from an operator or another
-// process, so the panic is turned into an error.
+// The YAML library panics on some texts, for example on a tag in the place of a list (goccy/go-yaml 1.19.2, found by
+// FuzzParseText). Such a text may come from an operator or another process, so the panic is turned into an error.
+
+// unmarshalYAML decodes a text into v and refuses unknown names.
 func unmarshalYAML(text []byte, v any) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = errors.Newf("the text can't be decoded as YAML: %v", r)
-		}
-	}()
+	defer recoverYAML(&err)
 	return yaml.UnmarshalWithOptions(text, v, yaml.Strict())
 }
+
+// parseYAML returns the syntax tree of a text, in which a name may stand twice.
+func parseYAML(text []byte) (file *ast.File, err error) {
+	defer recoverYAML(&err)
+	return parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+}
+
+func recoverYAML(err *error) {
+	if r := recover(); r != nil {
+		*err = errors.Newf("the text can't be decoded as YAML: %v", r)
+	}
+}
