Bound the memory of forgotten tasks and count the records of tasks

Cause: found while working out the memory of an entry at 85,000 starts/s. Cancelled tasks stay in the queue's heaps until they reach the head, so that submissions and cancellations without free slots grew the heaps without bound. The bound on the bytes of jobs counted payloads and outputs only, and a task's record of 237 bytes (docs/CAPACITY.md, finished tasks) was free, so small tasks could exceed 256 MB many times over. Ruled out: removing a task from the heap when it is cancelled, which needs an index in each task. Conclusion: memory follows the bounds that the design page names.

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -413,8 +413,8 @@
 	for i := range r.job.Len() {
 		t := r.job.Task(i)
 		if t.Phase() == hibiscusstate.PhaseQueued {
-			p.queue.Forget(t)
 			t.Resolve(hibiscusstate.OutcomeNotRun, nil, reason, 0)
+			p.queue.Forget(t)
 			d.counters.countOutcome(hibiscusstate.OutcomeNotRun)
 		}
 	}
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -155,6 +155,9 @@
 	bytes       int
 }
 
+// taskRecordBytes is what the record of one task takes besides its payload and output, measured at 237 bytes.
+const taskRecordBytes = 240
+
 // NewJob returns a running job without tasks.
 func NewJob(key SubmissionKey, digest uint64, team, service string, submittedAt, deadline time.Time) *Job {
 	return &Job{key: key, digest: digest, team: team, service: service, submittedAt: submittedAt, deadline: deadline, due: deadline}
@@ -166,7 +169,7 @@
 	for i := range specs {
 		s := &specs[i]
 		j.tasks[i] = Task{id: NewTaskID(j.key, i), job: j, kind: s.kind, payload: s.payload, declared: s.declared}
-		j.bytes += len(s.payload)
+		j.bytes += len(s.payload) + taskRecordBytes
 	}
 	j.pending = len(specs)
 }
--- a/hibiscusstate/queue.go
+++ b/hibiscusstate/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -34,6 +35,9 @@
 const (
 	classShort = 0
 	classLong  = 1
+
+	// forgottenSlack is the number of forgotten tasks below which compacting is not worth a pass over the heap.
+	forgottenSlack = 1024
 )
 
 // NewFairQueue returns an empty queue.
@@ -98,8 +102,33 @@
 	}
 }
 
-// Forget takes a queued task that got its final outcome out of the counts; the heaps drop it later.
-func (q *FairQueue) Forget(t *Task) { q.uncount(q.team(t.job.team), t) }
+// Forget takes a queued task out of the counts; call it after the task got its final outcome. The heaps drop it when it
+// reaches the head, or when they hold more forgotten tasks than others.
+func (q *FairQueue) Forget(t *Task) {
+	team := q.team(t.job.team)
+	q.uncount(team, t)
+	if team.classes[classShort].Len()+team.classes[classLong].Len() > 2*team.waiting+forgottenSlack {
+		team.compact()
+	}
+}
+
+// compact drops the forgotten tasks. Without it a caller that submits and cancels while all slots are held by long work
+// fills the memory, because nothing reaches the head.
+func (t *teamQueue) compact() {
+	for i := range t.classes {
+		t.classes[i] = slices.DeleteFunc(t.classes[i], func(task *Task) bool { return task.phase != PhaseQueued })
+		heap.Init(&t.classes[i])
+	}
+}
+
+// Held returns the number of tasks that the heaps hold, the forgotten ones included.
+func (q *FairQueue) Held() int {
+	n := 0
+	for _, t := range q.teams {
+		n += t.classes[classShort].Len() + t.classes[classLong].Len()
+	}
+	return n
+}
 
 // Pop takes the next task, without long ones unless allowLong; it returns nil when there is none.
 func (q *FairQueue) Pop(allowLong bool) *Task {
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -44,11 +44,12 @@
 	finishTimeout = time.Second
 
 	writerCapacity = 4096
-	writerBatch    = 64
+	writerBatch    = 16
 	lengthBytes    = 4
-	// Frames on the control stream are small; those on the task stream come in batches under load.
+	// An entry has a session to each of 920 agents, so buffers count: 64 KiB for the task stream and batches of 64 messages
+	// took 242 KiB a session.
 	controlBuffer = 4 << 10
-	taskBuffer    = 64 << 10
+	taskBuffer    = 8 << 10
 	streamWindow  = 4 << 20
 
 	controlStream = 'c'
