--- a/hibiscuscapacity/path_test.go
+++ b/hibiscuscapacity/path_test.go
@@ -18,7 +18,7 @@
 
 const (
 	pathText = "services:\n  - name: sighting\n    kinds:\n      - {name: plausibility_check, run_ms: 1, deadline_ms: 5000}\n" +
-		"teams:\n  - {name: nokkhao, share: 60}\n"
+		"teams:\n  - {name: nokkhao, share: 60, max_queued: 100000}\n"
 	pathTopic = "submissions"
 )
 
--- a/hibiscuscapacity/rig.go
+++ b/hibiscuscapacity/rig.go
@@ -25,7 +25,7 @@
 	rigKind    = "plausibility_check"
 	rigTeam    = "nokkhao"
 	rigText    = "services:\n  - name: sighting\n    kinds:\n      - {name: plausibility_check, run_ms: 1, deadline_ms: 3600000}\n" +
-		"teams:\n  - {name: nokkhao, share: 60}\n"
+		"teams:\n  - {name: nokkhao, share: 60, max_queued: 100000}\n"
 	rigLease   = 1
 	rigTimeout = 30 * time.Second
 )
