Measure power of two choices and late binding beside the chosen placement

Cause: section 8 of the design weighs ways of placing tasks and had no measured response time for those not chosen.

Part of the p99 comes from its order, since the others serve in order of arrival; one_queue marks that part.

--- a/hibiscusmeasure/fifo.go
+++ b/hibiscusmeasure/fifo.go
@@ -6,7 +6,8 @@
 	"hibiscusrouter/hibiscusstate"
 )
 
-// Two baselines share this code. In both nothing is refused, and nothing is given up at its deadline.
+// Two baselines share this code, and power_of_two and late_binding use its parts. In all of them nothing is refused, and
+// nothing is given up at its deadline.
 //
 // random_fifo sends every task to a random worker at once, where it waits in an unbounded queue in order of arrival.
 // one_queue has a single queue in order of arrival that sees all slots without delay. No system of several entries can
@@ -43,29 +44,46 @@
 
 func newOneQueue(t *trial, seed uint64) { newFIFO(t, seed, 1, workers*slotsPerWorker) }
 
-func newFIFO(t *trial, seed uint64, queues, slots int) {
+func newFIFO(t *trial, seed uint64, queues, slots int) *fifo {
 	f := &fifo{trial: t, rng: rand.New(rand.NewPCG(seed, 4)), queues: make([]fifoQueue, queues), slots: slots}
 	for n := range f.queues {
 		f.queues[n].lane = t.clock.lane()
 	}
 	t.submit = f.submit
 	t.wasted = func() int { return 0 }
+	return f
 }
 
 func (f *fifo) submit(a *attempt, reply func(answer)) {
-	j := &fifoJob{
+	j := f.newJob(a, reply)
+	for i := range a.runs {
+		f.send(f.rng.IntN(len(f.queues)), fifoTask{job: j, index: i})
+	}
+}
+
+func (f *fifo) newJob(a *attempt, reply func(answer)) *fifoJob {
+	return &fifoJob{
 		attempt: a, left: len(a.runs), reply: reply, lane: f.trial.clock.lane(),
 		outcomes: make([]hibiscusstate.Outcome, len(a.runs)),
 	}
-	for i := range a.runs {
-		n := f.rng.IntN(len(f.queues))
-		f.trial.clock.at(f.trial.clock.now.Add(f.trial.deployment.link(a.job.entry, n)), j.lane, func() {
-			f.queues[n].waiting = append(f.queues[n].waiting, fifoTask{job: j, index: i})
-			f.next(n)
-		})
-	}
 }
 
+// over calls do when a message between a job's entry and a worker has arrived.
+func (f *fifo) over(j *fifoJob, n int, do func()) {
+	f.trial.clock.at(f.trial.clock.now.Add(f.trial.deployment.link(j.attempt.job.entry, n)), j.lane, do)
+}
+
+// send sends a task to the queue of a worker.
+func (f *fifo) send(n int, t fifoTask) {
+	f.over(t.job, n, func() {
+		f.queues[n].waiting = append(f.queues[n].waiting, t)
+		f.next(n)
+	})
+}
+
+// length returns how many tasks run or wait.
+func (q *fifoQueue) length() int { return q.busy + len(q.waiting) }
+
 func (f *fifo) next(n int) {
 	q := &f.queues[n]
 	for q.busy < f.slots && len(q.waiting) > 0 {
@@ -84,7 +102,7 @@
 
 func (f *fifo) report(n int, t fifoTask, failed bool) {
 	j := t.job
-	f.trial.clock.at(f.trial.clock.now.Add(f.trial.deployment.link(j.attempt.job.entry, n)), j.lane, func() {
+	f.over(j, n, func() {
 		j.outcomes[t.index] = hibiscusstate.OutcomeFinished
 		if failed {
 			j.outcomes[t.index] = hibiscusstate.OutcomeFailed
--- /dev/null
+++ b/hibiscusmeasure/late_binding.go
@@ -0,0 +1,106 @@
+package hibiscusmeasure
+
+import "time"
+
+// late_binding keeps tasks at their entry, in order of arrival, until a slot asks for one. A free slot asks one entry after
+// the other; an entry with nothing to do passes. After all entries have passed, the slot pauses.
+
+// askPause is how long a slot waits after all entries have passed. A longer pause trades response time for messages.
+const askPause = 5 * time.Millisecond
+
+// lateBinding is the baseline late_binding; it uses the jobs and reports of the fifo baseline.
+type lateBinding struct {
+	fifo    *fifo
+	waiting [][]fifoTask
+	jobs    int
+	sent    int
+}
+
+// askingSlot is a slot of a worker with the entry that it asks next.
+type askingSlot struct {
+	worker int
+	lane   int
+	entry  int
+	passed int
+}
+
+func newLateBinding(t *trial, seed uint64) {
+	l := &lateBinding{fifo: newFIFO(t, seed, workers, slotsPerWorker), waiting: make([][]fifoTask, len(t.deployment.entries))}
+	t.submit = l.submit
+	t.wasted = func() int { return l.sent }
+	for n := range workers * slotsPerWorker {
+		s := &askingSlot{worker: n / slotsPerWorker, lane: t.clock.lane(), entry: n % len(l.waiting)}
+		t.clock.at(t.clock.now, s.lane, func() { l.ask(s) })
+	}
+}
+
+func (l *lateBinding) submit(a *attempt, reply func(answer)) {
+	l.jobs++
+	j := l.fifo.newJob(a, reply)
+	for i := range a.runs {
+		l.waiting[a.job.entry] = append(l.waiting[a.job.entry], fifoTask{job: j, index: i})
+	}
+}
+
+// ask sends the question of a free slot to the next entry. The message that brings a task is the task's own.
+func (l *lateBinding) ask(s *askingSlot) {
+	if l.done() {
+		return
+	}
+	entry := s.entry
+	s.entry = (s.entry + 1) % len(l.waiting)
+	l.sent++
+	l.over(s, entry, func() {
+		if len(l.waiting[entry]) == 0 {
+			l.sent++
+			l.over(s, entry, func() { l.pass(s) })
+			return
+		}
+		t := l.waiting[entry][0]
+		l.waiting[entry] = l.waiting[entry][1:]
+		l.over(s, entry, func() { l.start(s, t) })
+	})
+}
+
+func (l *lateBinding) pass(s *askingSlot) {
+	s.passed++
+	if s.passed < len(l.waiting) {
+		l.ask(s)
+		return
+	}
+	s.passed = 0
+	l.after(s, askPause, func() { l.ask(s) })
+}
+
+func (l *lateBinding) start(s *askingSlot, t fifoTask) {
+	s.passed = 0
+	takes, fails, r := l.fifo.trial.endpointStart(s.worker, t.job.attempt.payload(t.index)[:payloadHeader])
+	l.after(s, takes, func() {
+		r.to = l.fifo.trial.clock.now
+		l.fifo.report(s.worker, t, fails)
+		l.ask(s)
+	})
+}
+
+// done says whether every task was started. Slots that went on asking until a trial's last long task ends would add
+// thousands of messages a task.
+func (l *lateBinding) done() bool {
+	if l.fifo.trial.arriving > 0 || l.jobs < len(l.fifo.trial.attempts) {
+		return false
+	}
+	for _, waiting := range l.waiting {
+		if len(waiting) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// over calls do when a message between a slot and an entry has arrived.
+func (l *lateBinding) over(s *askingSlot, entry int, do func()) {
+	l.after(s, l.fifo.trial.deployment.link(entry, s.worker), do)
+}
+
+func (l *lateBinding) after(s *askingSlot, d time.Duration, do func()) {
+	l.fifo.trial.clock.at(l.fifo.trial.clock.now.Add(d), s.lane, do)
+}
--- a/hibiscusmeasure/measure.go
+++ b/hibiscusmeasure/measure.go
@@ -78,6 +78,8 @@
 		{"hibiscus", func(t *trial, seed uint64) { newFleet(t, seed) }},
 		{"random_fifo", newRandomFIFO},
 		{"one_queue", newOneQueue},
+		{"power_of_two", newPowerOfTwo},
+		{"late_binding", newLateBinding},
 	}
 }
 
--- a/hibiscusmeasure/plot.go
+++ b/hibiscusmeasure/plot.go
@@ -23,6 +23,7 @@
 
 var plotColors = []color.Color{
 	color.RGBA{R: 190, B: 60, A: 255}, color.RGBA{R: 90, G: 120, B: 190, A: 255}, color.RGBA{R: 60, G: 150, B: 80, A: 255},
+	color.RGBA{R: 200, G: 140, B: 30, A: 255}, color.RGBA{R: 130, G: 80, B: 160, A: 255},
 }
 
 // Text returns the figures of all policies as a table for people.
--- /dev/null
+++ b/hibiscusmeasure/probe.go
@@ -0,0 +1,53 @@
+package hibiscusmeasure
+
+import "math/rand/v2"
+
+// power_of_two asks two random workers for the length of their queues before it sends a task, and sends it to the shorter
+// one. The queues are those of the fifo baseline. The lengths are one link old when they arrive and two when the task does.
+
+// probeMessages is how many messages go beyond the task and its result: two questions and two answers.
+const probeMessages = 4
+
+// probing is the baseline power_of_two.
+type probing struct {
+	fifo *fifo
+	rng  *rand.Rand
+	sent int
+}
+
+func newPowerOfTwo(t *trial, seed uint64) {
+	p := &probing{fifo: newFIFO(t, seed, workers, slotsPerWorker), rng: rand.New(rand.NewPCG(seed, 5))}
+	t.submit = p.submit
+	t.wasted = func() int { return p.sent }
+}
+
+func (p *probing) submit(a *attempt, reply func(answer)) {
+	j := p.fifo.newJob(a, reply)
+	for i := range a.runs {
+		first := p.rng.IntN(workers)
+		second := (first + 1 + p.rng.IntN(workers-1)) % workers
+		p.probe(fifoTask{job: j, index: i}, first, second)
+	}
+}
+
+// probe sends a task once both workers have answered.
+func (p *probing) probe(t fifoTask, first, second int) {
+	p.sent += probeMessages
+	open := 2
+	lengths := [2]int{}
+	for i, n := range [2]int{first, second} {
+		p.fifo.over(t.job, n, func() {
+			lengths[i] = p.fifo.queues[n].length()
+			p.fifo.over(t.job, n, func() {
+				open--
+				switch {
+				case open > 0:
+				case lengths[1] < lengths[0]:
+					p.fifo.send(second, t)
+				default:
+					p.fifo.send(first, t)
+				}
+			})
+		})
+	}
+}
