Count only live slots in the estimate of admission

Cause: the estimate follows the slots of a service with a weight of 0.2 each 100 ms, so for about a second it counted slots of workers that were drained, leaving, out, without an endpoint or without a session, and it took jobs that could not be in time.

Ruled out: counting the workers at each admission, which costs time in proportion to 920 workers; the number is kept with each change instead. Refusing no_workers when all slots are lost: a session that is dialled again at once would refuse jobs that it could still serve.

Before / after: go test ./hibiscuscoordination -run LiveSlots; of 400 jobs that come after one of four workers lost its slots, refused at once as too_late: 121 before, 181 after (109 with four good workers); on trial 168 and 178.

Conclusion: the bound acts at once.

--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -144,12 +144,13 @@
 	return nil
 }
 
-// capacity returns the number of slots that this entry can count on.
+// capacity returns the number of slots that this entry can count on. The observed number follows a loss within a second;
+// the live slots bound it at once.
 func (d *Dispatcher) capacity(p *pool) float64 {
 	if p.usable == 0 {
-		return max(float64(p.slots)/float64(len(d.entries)), 1)
+		return max(float64(p.live)/float64(len(d.entries)), 1)
 	}
-	return max(p.usable, 1)
+	return max(min(p.usable, float64(p.live)), 1)
 }
 
 // drainTime returns how long the queue of a service needs at its present capacity.
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -80,6 +80,7 @@
 	runTimes *hibiscusstate.RunTimes
 	heap     *hibiscusstate.WorkerHeap
 	slots    int
+	live     int
 	usable   float64
 	longs    int
 	failures float64
@@ -94,6 +95,7 @@
 	tasks  map[hibiscusstate.TaskID]*hibiscusstate.Task
 	orders []hibiscusstate.Order
 	lostAt time.Time
+	live   int
 }
 
 // DispatcherSeams are the function fields through which a Dispatcher acts.
@@ -156,7 +158,7 @@
 	d.entries = entries
 	for _, a := range d.workers {
 		a.worker.SetPrimary(d.ranksFirst(a.worker.ID()))
-		a.pool.heap.Update(a.worker)
+		a.update()
 	}
 }
 
@@ -308,7 +310,7 @@
 	for i := range reports {
 		d.report(now, a, &reports[i])
 	}
-	a.pool.heap.Update(a.worker)
+	a.update()
 	d.dispatch(now, a.pool)
 }
 
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -94,7 +94,7 @@
 		// instead made a fifth of the tasks bounce.
 		w.Report(max(w.Others()+w.Free()-1, 0), w.Waiting(), now)
 	}
-	a.pool.heap.Update(w)
+	a.update()
 }
 
 // observeCapacity follows how many slots this entry has or could have: those with its tasks and those that look free.
@@ -103,12 +103,10 @@
 	slots := 0
 	for i := range p.heap.Len() {
 		w := p.heap.At(i)
-		if w.Usable() {
-			slots += min(w.InFlight(), w.Slots()) + max(w.Free(), 0)
-		}
+		slots += min(w.InFlight()+max(w.Free(), 0), w.LiveSlots())
 	}
 	if p.usable == 0 {
-		p.usable = float64(p.slots) / float64(entries)
+		p.usable = float64(p.live) / float64(entries)
 	}
 	p.usable += (float64(slots) - p.usable) * capacityWeight
 }
--- a/hibiscuscoordination/dispatcher_workers.go
+++ b/hibiscuscoordination/dispatcher_workers.go
@@ -77,14 +77,13 @@
 	case a.worker.Health() == hibiscusstate.HealthLeaving:
 		a.worker.SetHealth(hibiscusstate.HealthGood, "")
 	}
-	a.pool.heap.Update(a.worker)
+	a.update()
 	d.dispatch(now, a.pool)
 }
 
 // moveToService serves the first announcement of an endpoint that came after its agent's session.
 func (d *Dispatcher) moveToService(a *assignment, service string) *assignment {
-	a.pool.heap.Remove(a.worker)
-	a.pool.slots -= a.worker.Slots()
+	a.leavePool()
 	w := hibiscusstate.NewWorker(a.worker.ID(), a.worker.Address(), a.worker.Domain(), service, 0, a.worker.Preference())
 	w.SetPrimary(a.worker.Primary())
 	w.SetLease(a.worker.Lease())
@@ -106,7 +105,7 @@
 	for _, t := range a.tasks {
 		t.MarkUnsettled()
 	}
-	a.pool.heap.Update(a.worker)
+	a.update()
 	d.dispatch(now, a.pool)
 }
 
@@ -114,9 +113,22 @@
 	for _, t := range a.tasks {
 		d.resolve(now, a, t, hibiscusstate.OutcomeMayHaveRun, nil, reason, 0)
 	}
+	a.leavePool()
+	delete(d.workers, a.worker.ID())
+}
+
+// update brings the pool up to date with a change of the worker.
+func (a *assignment) update() {
+	a.pool.heap.Update(a.worker)
+	a.pool.live += a.worker.LiveSlots() - a.live
+	a.live = a.worker.LiveSlots()
+}
+
+func (a *assignment) leavePool() {
 	a.pool.heap.Remove(a.worker)
 	a.pool.slots -= a.worker.Slots()
-	delete(d.workers, a.worker.ID())
+	a.pool.live -= a.live
+	a.live = 0
 }
 
 // ranksFirst says whether this entry has the highest rendezvous hash for a worker among the entries.
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -91,7 +91,7 @@
 	if t.Long() {
 		a.pool.longs++
 	}
-	a.pool.heap.Update(a.worker)
+	a.update()
 }
 
 // Flush sends the orders that were placed since the last call, one message for each worker.
@@ -109,7 +109,7 @@
 	if !d.send(a.worker.ID(), NewOrdersMessage(a.orders)) {
 		// The writer's ring is full: count the worker as full until its next report, or these tasks would come straight back.
 		a.worker.Report(a.worker.Slots(), 0, now)
-		a.pool.heap.Update(a.worker)
+		a.update()
 		d.returnOrders(now, a)
 		return
 	}
--- a/hibiscuscoordination/policy_test.go
+++ b/hibiscuscoordination/policy_test.go
@@ -159,3 +159,47 @@
 	s.d.Reports(s.now, 100, []hibiscusstate.Report{hibiscusstate.NewRejection(order.Try(), hibiscusstate.RejectionStopped)})
 	s.golden("policy_stop_waiting")
 }
+
+// TestAdmissionCountsLiveSlots guards against an estimate that counts slots which get no work: jobs are then taken that
+// can't be in time, instead of being refused at once.
+func TestAdmissionCountsLiveSlots(t *testing.T) {
+	s := newPolicyScene(t, 0)
+	for _, cause := range []string{"good", "drained", "leaving", "without endpoint", "without session", "out", "on trial"} {
+		scene := newPolicyScene(t, 4)
+		scene.pass(time.Second)
+		scene.note("one of four workers is %s", cause)
+		scene.lose(100, cause)
+		scene.submit(400, "right")
+		s.lines = append(s.lines, scene.lines...)
+	}
+	s.golden("policy_live_slots")
+}
+
+// lose takes the slots of a worker away.
+func (s *policyScene) lose(worker hibiscusstate.Incarnation, cause string) {
+	capacity := func(slots int, leaving, drained bool) {
+		s.d.Capacity(s.now, worker, NewCapacity("check", slots, leaving, 1).WithDrained(drained))
+	}
+	switch cause {
+	case "good":
+	case "drained":
+		capacity(8, false, true)
+	case "leaving":
+		capacity(8, true, false)
+	case "without endpoint":
+		capacity(0, false, false)
+	case "without session":
+		s.d.WorkerDown(s.now, worker)
+	case "out", "on trial":
+		s.submit(24, "right")
+		s.finish(worker, hibiscusstate.OutcomeFailed, time.Millisecond)
+		for _, other := range []hibiscusstate.Incarnation{101, 102, 103} {
+			s.finish(other, hibiscusstate.OutcomeFinished, 100*time.Millisecond)
+		}
+		if cause == "on trial" {
+			s.pass(firstTrial)
+		}
+	default:
+		s.t.Fatalf("unknown cause %q", cause)
+	}
+}
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -178,6 +178,22 @@
 	return false
 }
 
+// LiveSlots returns how many of the slots get work at present, taken or free. A worker on trial counts with its one task.
+func (w *Worker) LiveSlots() int {
+	if !w.connected {
+		return 0
+	}
+	switch w.health {
+	case HealthGood:
+		return w.slots
+	case HealthOnTrial:
+		return min(w.slots, 1)
+	case HealthOut, HealthLeaving:
+		return 0
+	}
+	return 0
+}
+
 // CountFinished records a task that finished and returns the number of failures in a row before it.
 func (w *Worker) CountFinished() int {
 	before := w.failures
