Join the flags and requests of the operators' commands

A change to one, like the client that a test sets, missed the other. Ruled out: one timeout for all commands. An edit may take 10 s to be settled, while status must not hang on a lost entry. Conclusion: every command that asks an entry as an operator goes through entryRequest.send.

--- a/hibiscuscommand/admin.go
+++ b/hibiscuscommand/admin.go
@@ -1,6 +1,8 @@
 package hibiscuscommand
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -9,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// What the commands for operators share: where the entry is, the token, and how its answers are read.
+// What all commands that ask an entry as an operator share: where the entry is, the token, and how its answers are read.
 
 // adminTimeout bounds one request; an entry waits at most a second for an agent.
 const adminTimeout = 5 * time.Second
@@ -34,57 +36,95 @@
 	Output string `long:"output" default:"text" choice:"text" choice:"json" description:"form of the answer"`
 }
 
-// adminErrorView is the body of a refused administration request.
-type adminErrorView struct {
+// configurationFlags are the flags of every command for configuration that asks an entry.
+type configurationFlags struct {
+	operatorFlags
+	outputFlags
+}
+
+// entryRequest is one administration request to an entry.
+type entryRequest struct {
+	method, entry, path string
+	token, operator     string
+	body                []byte
+	timeout             time.Duration
+}
+
+// refusalView is the body of a refused administration request; a conflict and a bad text say more.
+type refusalView struct {
 	Error struct {
 		Code    string `json:"code"`
 		Message string `json:"message"`
 	} `json:"error"`
+	Problems       []problemView `json:"problems,omitempty"`
+	BaseVersion    uint64        `json:"base_version,omitempty"`
+	CurrentVersion uint64        `json:"current_version,omitempty"`
+	Difference     string        `json:"difference,omitempty"`
 }
 
 // adminGet reads from an entry and returns the body of its answer; a refusal is an error.
 func adminGet(env *environment, entry, path, token string) ([]byte, error) {
-	return adminRequest(env, http.MethodGet, entry, path, token, "")
+	raw, _, err := entryRequest{method: http.MethodGet, entry: entry, path: path, token: token, timeout: adminTimeout}.send(env)
+	return raw, err
 }
 
 // change sends a change to the entry; a refusal is an error.
 func (f *operatorFlags) change(env *environment, method, path string) error {
-	_, err := adminRequest(env, method, f.Entry, path, f.Token, f.Operator)
+	_, _, err := f.to(method, path, adminTimeout).send(env)
 	return err
 }
 
-func adminRequest(env *environment, method, entry, path, token, operator string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(env.ctx, method, "http://"+entry+path, nil)
+// to returns a request without a body to the entry of the flags.
+func (f *operatorFlags) to(method, path string, timeout time.Duration) entryRequest {
+	return entryRequest{method: method, entry: f.Entry, path: path, token: f.Token, operator: f.Operator, timeout: timeout}
+}
+
+// send returns the body of the answer. A refusal is an error, and its body is returned decoded.
+func (r entryRequest) send(env *environment) ([]byte, *refusalView, error) {
+	ctx, cancel := context.WithTimeout(env.ctx, r.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.entry+r.path, bytes.NewReader(r.body))
 	if err != nil {
-		return nil, errors.Mark(err, errUsage)
+		return nil, nil, errors.Mark(err, errUsage)
+	}
+	if r.token != "" {
+		request.Header.Set("Authorization", "Bearer "+r.token)
 	}
-	if token != "" {
-		request.Header.Set("Authorization", "Bearer "+token)
+	if r.operator != "" {
+		request.Header.Set("Operator", r.operator)
 	}
-	if operator != "" {
-		request.Header.Set("Operator", operator)
+	if r.body != nil {
+		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := (&http.Client{Timeout: adminTimeout}).Do(request)
+	response, err := env.httpClient().Do(request)
 	if err != nil {
-		return nil, errors.Mark(err, errNoReach)
+		return nil, nil, errors.Mark(err, errNoReach)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(response.Body)
 	if err != nil {
-		return nil, errors.Mark(err, errNoReach)
+		return nil, nil, errors.Mark(err, errNoReach)
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
-		return raw, nil
+		return raw, nil, nil
+	}
+	view := &refusalView{}
+	if json.Unmarshal(raw, view) != nil || view.Error.Code == "" {
+		return nil, nil, errors.Newf("entry %s answered with status %d", r.entry, response.StatusCode)
 	}
-	var view adminErrorView
-	if json.Unmarshal(raw, &view) != nil || view.Error.Code == "" {
-		return nil, errors.Newf("entry %s answered with status %d", entry, response.StatusCode)
+	err = errors.Newf("entry %s refused the request: %s: %s", r.entry, view.Error.Code, view.Error.Message)
+	if response.StatusCode == http.StatusBadRequest || response.StatusCode == http.StatusUnprocessableEntity {
+		err = errors.Mark(err, errUsage)
 	}
-	err = errors.Newf("entry %s refused the request: %s: %s", entry, view.Error.Code, view.Error.Message)
-	if response.StatusCode == http.StatusBadRequest {
-		return nil, errors.Mark(err, errUsage)
+	return nil, view, err
+}
+
+// httpClient returns what the commands reach entries with.
+func (e *environment) httpClient() *http.Client {
+	if e.client != nil {
+		return e.client
 	}
-	return nil, err
+	return http.DefaultClient
 }
 
 // pageView is one page of a list.
--- a/hibiscuscommand/check.go
+++ b/hibiscuscommand/check.go
@@ -12,9 +12,9 @@
 	"when the text is correct, 2 when it has errors. Nothing is changed."
 
 type checkCommand struct {
-	env    *environment
-	Output string `long:"output" default:"text" choice:"text" choice:"json" description:"form of the answer"`
-	Args   struct {
+	env *environment
+	outputFlags
+	Args struct {
 		File string `positional-arg-name:"FILE" description:"configuration text, - for standard input"`
 	} `positional-args:"true" required:"true"`
 }
