Show dropped audit entries and events, and count refusals of the HTTP handlers

Cause: Audit.Dropped and Bus.Dropped were counted and shown nowhere, so a gap in the audit trail was visible only in the log. Requests that the callers' handlers refuse (no valid JSON, missing or foreign key, body too large, a stopping entry, no state in time) never reach the dispatch duty, which held the only count of refusals. Ruled out: sending each bad request to the dispatch duty for its count; a stranger could fill its ring. The handlers count with atomics and the metrics add both counts. Counting paths that are not served: they name no job. The counts of drops themselves are proved in the tests of Audit and Bus; no session of processes makes an entry drop one.

--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -37,6 +37,8 @@
 	stopping atomic.Bool
 	left     chan struct{}
 	table    func() hibiscuscoordination.TableCounters
+	// droppedEntries counts audit entries that were not written.
+	droppedEntries func() uint64
 }
 
 // NewEntry returns an entry process that has not started; its incarnation must be new and random.
@@ -53,12 +55,13 @@
 	}
 	e := &Entry{
 		settings: settings, duty: hibiscuscoordination.NewEntry(identity, event, log), network: network, bus: bus, log: log,
-		left:  make(chan struct{}),
-		table: func() hibiscuscoordination.TableCounters { return hibiscuscoordination.TableCounters{} },
+		left:           make(chan struct{}),
+		table:          func() hibiscuscoordination.TableCounters { return hibiscuscoordination.TableCounters{} },
+		droppedEntries: func() uint64 { return 0 },
 	}
 	if settings.PlatformAddress() != "" {
 		e.platform = newEntryPlatform(settings, e.duty, network, log)
-		e.table = e.platform.counters
+		e.table, e.droppedEntries = e.platform.counters, e.platform.audit.Dropped
 	}
 	return e
 }
@@ -142,11 +145,13 @@
 	r := chi.NewRouter()
 	r.Use(e.endConnections)
 	signer := hibiscusstate.NewKeySigner(e.settings.Secret())
-	hibiscusprotocol.NewCallerAPI(signer, e.duty.Submit, e.duty.IssueKeys, e.ready).Mount(r)
+	callers := hibiscusprotocol.NewCallerAPI(signer, e.duty.Submit, e.duty.IssueKeys, e.ready)
+	callers.Mount(r)
 	auth := hibiscusprotocol.NewAdminAuth(e.settings.ViewerToken(), e.settings.OperatorToken())
 	drain := func(who, from string) { e.beginDrain("asked by " + who + " from " + from) }
 	hibiscusprotocol.NewAdminAPI(auth, e.duty, e.ready, drain).Mount(r)
-	hibiscusprotocol.NewEntryMetrics(e.duty, connector.Counters, e.table).MountEntry(r, auth)
+	hibiscusprotocol.NewEntryMetrics(e.duty, hibiscusprotocol.NewEntryMetricsSeams(
+		connector.Counters, e.table, callers.Refused, e.droppedEntries, e.bus.Dropped)).MountEntry(r, auth)
 	e.configurationAPI(auth).Mount(r)
 	return r
 }
--- a/hibiscusprocess/metrics_test.go
+++ b/hibiscusprocess/metrics_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,7 +40,8 @@
 }
 
 // TestSessionMetrics guards against a counter that does not count: jobs, tasks, outcomes, refusals, rejections, records,
-// silent sessions, reconnects, refused handshakes and leases.
+// silent sessions, reconnects, refused handshakes and leases; and against refusals of the
+// callers' handlers that are missing among the refusals.
 func TestSessionMetrics(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t)
@@ -52,6 +54,12 @@
 			`{"team":"nokkhao","service":"sighting","tasks":[{"kind":"egg_count"}]}`)
 		d.submit("caller", "10.0.1.1", d.key("10.0.1.1", "key-3"),
 			`{"team":"nokkhao","service":"sighting","tasks":[{"kind":"list_sync","payload":{"behavior":"fail"}}]}`)
+		for _, refused := range []struct{ key, body string }{
+			{d.key("10.0.1.1", "key-4"), "{"}, {"", checkJob}, {"hr1-0-0-0", checkJob},
+			{d.key("10.0.1.1", "key-5"), strings.Repeat(" ", 8<<20+1)},
+		} {
+			d.submit("caller", "10.0.1.1", refused.key, refused.body)
+		}
 		d.note("the session goes silent, and no other is possible for 3.3 s")
 		d.network.Silence("10.0.1.1:7200", true, true)
 		d.network.Block("10.0.1.1:7200", true)
--- a/hibiscusprotocol/admin_http_test.go
+++ b/hibiscusprotocol/admin_http_test.go
@@ -36,8 +36,11 @@
 	r := chi.NewRouter()
 	auth := NewAdminAuth(adminToken, "")
 	NewAdminAPI(auth, duty, duty.Ready, func(string, string) {}).Mount(r)
-	NewEntryMetrics(duty, func() hibiscuscoordination.SessionCounters { return hibiscuscoordination.SessionCounters{} },
-		func() hibiscuscoordination.TableCounters { return hibiscuscoordination.NewTableCounters(3, 2, 1) }).MountEntry(r, auth)
+	NewEntryMetrics(duty, NewEntryMetricsSeams(
+		func() hibiscuscoordination.SessionCounters { return hibiscuscoordination.SessionCounters{} },
+		func() hibiscuscoordination.TableCounters { return hibiscuscoordination.NewTableCounters(3, 2, 1) },
+		func(hibiscusstate.Refusal) uint64 { return 0 }, func() uint64 { return 4 }, func() uint64 { return 5 },
+	)).MountEntry(r, auth)
 	return r, duty
 }
 
--- a/hibiscusprotocol/caller_http.go
+++ b/hibiscusprotocol/caller_http.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	submit func(s *hibiscuscoordination.Submission, reply func(*hibiscuscoordination.Answer)) error
 	issue  func(n int) ([]hibiscusstate.SubmissionKey, error)
 	ready  func() bool
+	// refused counts what is refused here, before the dispatch duty sees and counts it.
+	refused [hibiscusstate.RefusalOutcomeUnknown + 1]atomic.Uint64
 }
 
 // NewCallerAPI returns the handlers of an entry: submit routes a submission, issue returns fresh keys, and ready says
@@ -57,6 +60,9 @@
 	return &CallerAPI{signer: signer, submit: submit, issue: issue, ready: ready}
 }
 
+// Refused returns how many requests the handlers refused for a reason, without those that the dispatch duty refused.
+func (c *CallerAPI) Refused(r hibiscusstate.Refusal) uint64 { return c.refused[r].Load() }
+
 // Mount adds the routes to a router.
 func (c *CallerAPI) Mount(r chi.Router) {
 	r.Post("/v1/keys", c.postKeys)
@@ -126,16 +132,16 @@
 
 func (c *CallerAPI) postKeys(w http.ResponseWriter, r *http.Request) {
 	request := keysRequest{Count: 1}
-	if !readJSON(w, r, &request) {
+	if !readJSON(w, r, &request, c.refuse) {
 		return
 	}
 	if request.Count < 1 || request.Count > maxKeysPerRequest {
-		writeRefusal(w, hibiscusstate.RefusalBadRequest, fmt.Sprintf("count must be between 1 and %d", maxKeysPerRequest))
+		c.refuse(w, hibiscusstate.RefusalBadRequest, fmt.Sprintf("count must be between 1 and %d", maxKeysPerRequest))
 		return
 	}
 	keys, err := c.issue(request.Count)
 	if err != nil {
-		writeRefusal(w, hibiscusstate.RefusalDraining, "this entry is stopping; send the request again through the balancer")
+		c.refuse(w, hibiscusstate.RefusalDraining, "this entry is stopping; send the request again through the balancer")
 		return
 	}
 	body := keysBody{SubmissionKeys: make([]string, len(keys))}
@@ -150,12 +156,12 @@
 	if !ok {
 		return
 	}
-	body, ok := readBody(w, r, maxBodyBytes)
+	body, ok := readBody(w, r, maxBodyBytes, c.refuse)
 	if !ok {
 		return
 	}
 	var request jobRequest
-	if !decodeJSON(w, body, &request) || !checkTimes(w, &request) || !checkTasks(w, request.Tasks) {
+	if !decodeJSON(w, body, &request, c.refuse) || !c.checkTimes(w, &request) || !c.checkTasks(w, request.Tasks) {
 		return
 	}
 	tasks := make([]hibiscusstate.TaskSpec, len(request.Tasks))
@@ -176,34 +182,34 @@
 }
 
 // checkTimes refuses times that make no sense; a deadline that is not given is not zero.
-func checkTimes(w http.ResponseWriter, request *jobRequest) bool {
+func (c *CallerAPI) checkTimes(w http.ResponseWriter, request *jobRequest) bool {
 	switch {
 	case request.DeadlineMS != nil && *request.DeadlineMS <= 0:
-		writeRefusal(w, hibiscusstate.RefusalDeadlinePassed,
+		c.refuse(w, hibiscusstate.RefusalDeadlinePassed,
 			fmt.Sprintf("deadline_ms is %d; give the milliseconds from now until the answer is of no more use, or leave it out",
 				*request.DeadlineMS))
 	case request.DeadlineMS != nil && *request.DeadlineMS > maxMilliseconds:
-		writeRefusal(w, hibiscusstate.RefusalBadRequest,
+		c.refuse(w, hibiscusstate.RefusalBadRequest,
 			fmt.Sprintf("deadline_ms is counted from now, not from 1970, and is at most %d", maxMilliseconds))
 	case request.WaitMS != nil && *request.WaitMS < 0:
-		writeRefusal(w, hibiscusstate.RefusalBadRequest, "wait_ms is negative; give 0 to get the state of the job at once")
+		c.refuse(w, hibiscusstate.RefusalBadRequest, "wait_ms is negative; give 0 to get the state of the job at once")
 	case request.Attempt < 0:
-		writeRefusal(w, hibiscusstate.RefusalBadRequest, "attempt is negative; give 1 for the first try, or leave it out")
+		c.refuse(w, hibiscusstate.RefusalBadRequest, "attempt is negative; give 1 for the first try, or leave it out")
 	default:
 		return true
 	}
 	return false
 }
 
-func checkTasks(w http.ResponseWriter, tasks []taskRequest) bool {
+func (c *CallerAPI) checkTasks(w http.ResponseWriter, tasks []taskRequest) bool {
 	for i, t := range tasks {
 		if t.RunMS < 0 || t.RunMS > maxMilliseconds {
-			writeRefusal(w, hibiscusstate.RefusalBadRequest,
+			c.refuse(w, hibiscusstate.RefusalBadRequest,
 				fmt.Sprintf("task %d: run_ms is %d; give 0 to %d, or leave it out", i, t.RunMS, maxMilliseconds))
 			return false
 		}
 		if len(t.Payload) > maxPayloadBytes {
-			writeRefusal(w, hibiscusstate.RefusalBodyTooLarge,
+			c.refuse(w, hibiscusstate.RefusalBodyTooLarge,
 				fmt.Sprintf("task %d: the payload has %d bytes, at most %d are taken; send a reference to the data instead",
 					i, len(t.Payload), maxPayloadBytes))
 			return false
@@ -219,7 +225,7 @@
 	if !ok {
 		return
 	}
-	if wait, ok := queryWait(w, r, 0); ok {
+	if wait, ok := c.queryWait(w, r, 0); ok {
 		c.serve(w, r, hibiscuscoordination.NewFetch(key).WithWait(wait))
 	}
 }
@@ -229,20 +235,20 @@
 	if !ok {
 		return
 	}
-	if wait, ok := queryWait(w, r, maxWait); ok {
+	if wait, ok := c.queryWait(w, r, maxWait); ok {
 		c.serve(w, r, hibiscuscoordination.NewCancel(key).WithWait(wait))
 	}
 }
 
 // queryWait reads wait_ms from the query; it writes the refusal and returns false when the value is no wait.
-func queryWait(w http.ResponseWriter, r *http.Request, unset time.Duration) (time.Duration, bool) {
+func (c *CallerAPI) queryWait(w http.ResponseWriter, r *http.Request, unset time.Duration) (time.Duration, bool) {
 	text := r.URL.Query().Get("wait_ms")
 	if text == "" {
 		return unset, true
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms < 0 {
-		writeRefusal(w, hibiscusstate.RefusalBadRequest, "wait_ms must be a number of milliseconds, 0 for the state at once")
+		c.refuse(w, hibiscusstate.RefusalBadRequest, "wait_ms must be a number of milliseconds, 0 for the state at once")
 		return 0, false
 	}
 	return boundWait(ms), true
@@ -251,7 +257,7 @@
 func (c *CallerAPI) headerKey(w http.ResponseWriter, r *http.Request) (hibiscusstate.SubmissionKey, bool) {
 	text := r.Header.Get(keyHeader)
 	if text == "" {
-		writeRefusal(w, hibiscusstate.RefusalKeyNotIssued, "the "+keyHeader+" header is missing; get a key from POST /v1/keys")
+		c.refuse(w, hibiscusstate.RefusalKeyNotIssued, "the "+keyHeader+" header is missing; get a key from POST /v1/keys")
 		return hibiscusstate.SubmissionKey{}, false
 	}
 	return c.parseKey(w, text)
@@ -264,7 +270,7 @@
 func (c *CallerAPI) parseKey(w http.ResponseWriter, text string) (hibiscusstate.SubmissionKey, bool) {
 	key, err := c.signer.Parse(text)
 	if err != nil {
-		writeRefusal(w, hibiscusstate.RefusalKeyNotIssued,
+		c.refuse(w, hibiscusstate.RefusalKeyNotIssued,
 			"this deployment did not issue the submission key; get one from POST /v1/keys")
 		return key, false
 	}
@@ -280,9 +286,10 @@
 	}
 	switch {
 	case errors.Is(err, hibiscuscoordination.ErrStopped):
-		writeRefusal(w, hibiscusstate.RefusalDraining, "this entry is stopping; send the request again through the balancer")
+		c.refuse(w, hibiscusstate.RefusalDraining, "this entry is stopping; send the request again through the balancer")
 	case err != nil:
 	case a == nil:
+		c.refused[hibiscusstate.RefusalOutcomeUnknown].Add(1)
 		writeRefusalAnswer(w, hibiscuscoordination.NewRefusal(s.Key(), hibiscusstate.RefusalOutcomeUnknown, false,
 			"the state of the job could not be told in time; send the request again with the same key"))
 	default:
@@ -329,6 +336,12 @@
 	writeJSON(w, status, body)
 }
 
+// refuse counts and writes a refusal that is certain to be not run.
+func (c *CallerAPI) refuse(w http.ResponseWriter, refusal hibiscusstate.Refusal, message string) {
+	c.refused[refusal].Add(1)
+	writeRefusal(w, refusal, message)
+}
+
 // writeRefusal writes a refusal that is certain to be not run.
 func writeRefusal(w http.ResponseWriter, refusal hibiscusstate.Refusal, message string) {
 	writeRefusalAnswer(w, hibiscuscoordination.NewRefusal(hibiscusstate.SubmissionKey{}, refusal, true, message))
--- a/hibiscusprotocol/endpoint_http.go
+++ b/hibiscusprotocol/endpoint_http.go
@@ -64,7 +64,7 @@
 
 func (e *EndpointAPI) putEndpoint(w http.ResponseWriter, r *http.Request) {
 	var request endpointRequest
-	if !readJSON(w, r, &request) {
+	if !readJSON(w, r, &request, writeRefusal) {
 		return
 	}
 	if _, _, err := net.SplitHostPort(request.Address); err != nil || request.Service == "" || request.Slots < 1 {
--- a/hibiscusprotocol/json.go
+++ b/hibiscusprotocol/json.go
@@ -13,34 +13,37 @@
 
 // Reading and writing JSON bodies, the same on every HTTP interface.
 
+// refuseFunc writes a refusal that is certain to be not run; a handler that counts its refusals does so here.
+type refuseFunc func(w http.ResponseWriter, refusal hibiscusstate.Refusal, message string)
+
 // maxSmallBodyBytes bounds every body but that of a submission.
 const maxSmallBodyBytes = 1 << 20
 
 // readJSON reads a body into v, which keeps its defaults when the body is empty; it writes the refusal and returns false
 // when it can't.
-func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	body, ok := readBody(w, r, maxSmallBodyBytes)
-	return ok && (len(body) == 0 || decodeJSON(w, body, v))
+func readJSON(w http.ResponseWriter, r *http.Request, v any, refuse refuseFunc) bool {
+	body, ok := readBody(w, r, maxSmallBodyBytes, refuse)
+	return ok && (len(body) == 0 || decodeJSON(w, body, v, refuse))
 }
 
 // readBody reads a whole body of at most limit bytes; it writes the refusal and returns false when it can't.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, refuse refuseFunc) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, true
 	case errors.As(err, &tooLarge):
-		writeRefusal(w, hibiscusstate.RefusalBodyTooLarge,
+		refuse(w, hibiscusstate.RefusalBodyTooLarge,
 			errors.Newf("the body is larger than %d bytes; send fewer tasks in one job or smaller payloads", limit).Error())
 	default:
-		writeRefusal(w, hibiscusstate.RefusalBadRequest, "the body did not arrive whole; send the request again")
+		refuse(w, hibiscusstate.RefusalBadRequest, "the body did not arrive whole; send the request again")
 	}
 	return nil, false
 }
 
 // decodeJSON decodes the one JSON value of a body into v; it writes the refusal and returns false when it can't.
-func decodeJSON(w http.ResponseWriter, body []byte, v any) bool {
+func decodeJSON(w http.ResponseWriter, body []byte, v any, refuse refuseFunc) bool {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(v)
@@ -59,7 +62,7 @@
 		}
 	}
 	if err != nil {
-		writeRefusal(w, hibiscusstate.RefusalBadRequest,
+		refuse(w, hibiscusstate.RefusalBadRequest,
 			errors.Newf("the body is not a valid request: %v; docs/api.md lists the fields", err).Error())
 		return false
 	}
--- a/hibiscusprotocol/metrics.go
+++ b/hibiscusprotocol/metrics.go
@@ -26,12 +26,28 @@
 	collect func(vars *expvar.Map) error
 }
 
-// NewEntryMetrics returns the variables of an entry: sessions and table return the totals of its sessions and of its table
-// client.
-func NewEntryMetrics(
-	duty *hibiscuscoordination.Entry, sessions func() hibiscuscoordination.SessionCounters,
-	table func() hibiscuscoordination.TableCounters,
-) *Metrics {
+// EntryMetricsSeams are the totals of an entry that its dispatch duty does not hold.
+type EntryMetricsSeams struct {
+	sessions       func() hibiscuscoordination.SessionCounters
+	table          func() hibiscuscoordination.TableCounters
+	refused        func(hibiscusstate.Refusal) uint64
+	droppedEntries func() uint64
+	droppedEvents  func() uint64
+}
+
+// NewEntryMetricsSeams returns the seams: sessions and table return the totals of the sessions and of the table client, refused
+// what the callers' handlers refused, droppedEntries and droppedEvents what the audit duty and the bus could not keep.
+func NewEntryMetricsSeams(
+	sessions func() hibiscuscoordination.SessionCounters, table func() hibiscuscoordination.TableCounters,
+	refused func(hibiscusstate.Refusal) uint64, droppedEntries, droppedEvents func() uint64,
+) EntryMetricsSeams {
+	return EntryMetricsSeams{
+		sessions: sessions, table: table, refused: refused, droppedEntries: droppedEntries, droppedEvents: droppedEvents,
+	}
+}
+
+// NewEntryMetrics returns the variables of an entry.
+func NewEntryMetrics(duty *hibiscuscoordination.Entry, seams EntryMetricsSeams) *Metrics {
 	return &Metrics{collect: func(vars *expvar.Map) error {
 		snapshot, err := duty.Snapshot()
 		if err != nil {
@@ -42,8 +58,12 @@
 			return err
 		}
 		collectEntry(vars, snapshot, services)
-		collectSessions(vars, sessions())
-		collectTable(vars, table())
+		setCounts(vars, "refusals", hibiscusstate.RefusalBadRequest, hibiscusstate.RefusalOutcomeUnknown,
+			func(r hibiscusstate.Refusal) uint64 { return snapshot.Counters().Refusal(r) + seams.refused(r) })
+		collectSessions(vars, seams.sessions())
+		collectTable(vars, seams.table())
+		setUint(vars, "audit_dropped", seams.droppedEntries())
+		setUint(vars, "bus_dropped", seams.droppedEvents())
 		return nil
 	}}
 }
@@ -127,7 +147,6 @@
 	setUint(vars, "recoveries_open", uint64(s.Recoveries()))
 	setCounts(vars, "jobs_ended", hibiscusstate.JobComplete, hibiscusstate.JobCancelled, c.JobState)
 	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStopped, c.Outcome)
-	setCounts(vars, "refusals", hibiscusstate.RefusalBadRequest, hibiscusstate.RefusalOutcomeUnknown, c.Refusal)
 	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, c.Rejection)
 	setRing(vars, "duty_ring", s.Ring())
 	byService := new(expvar.Map).Init()
--- a/hibiscusprotocol/operations_test.go
+++ b/hibiscusprotocol/operations_test.go
@@ -74,6 +74,8 @@
 		_, body := get(h, "/debug/vars", adminToken, "10.0.9.1:1")
 		So(servedMetrics(body), ShouldResemble, documentedMetrics("entry"))
 		So(body, ShouldContainSubstring, `"table_reads": 3`)
+		So(body, ShouldContainSubstring, `"audit_dropped": 4`)
+		So(body, ShouldContainSubstring, `"bus_dropped": 5`)
 		So(body, ShouldContainSubstring, `"queue_full": 0`)
 	})
 	Convey("and that of an agent", t, func() {
