--- a/hibiscuscommand/admin.go
+++ b/hibiscuscommand/admin.go
@@ -22,7 +22,7 @@
 // adminFlags are the flags of every command that asks one entry.
 type adminFlags struct {
 	Entry string `long:"entry" default:"127.0.0.1:7100" value-name:"HOST:PORT" description:"caller_address of an entry"`
-	Token string `long:"token" env:"HIBISCUSROUTER_TOKEN" default-mask:"-" description:"viewer_token or operator_token of the entry"`
+	Token string `long:"token" env:"HIBISCUSROUTER_TOKEN" value-name:"TOKEN" default-mask:"-" description:"viewer_token or operator_token"`
 }
 
 // operatorFlags are the flags of every command that changes something through one entry.
--- a/hibiscuscommand/admin_test.go
+++ b/hibiscuscommand/admin_test.go
@@ -7,13 +7,16 @@
 	"io"
 	"log/slog"
 	"net/http/httptest"
+	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 	"unicode/utf8"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/jessevdk/go-flags"
 	"github.com/sebdah/goldie/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -210,16 +213,40 @@
 	})
 }
 
+// commandNames returns the commands in the order in which they are listed.
+func commandNames() []string {
+	parser := flags.NewNamedParser("hibiscusrouter", flags.None)
+	must(addCommands(parser, &environment{}))
+	var names []string
+	for _, c := range parser.Commands() {
+		names = append(names, c.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestReadmeNamesCommands guards against a command that README.md does not name, and against one that is gone.
+func TestReadmeNamesCommands(t *testing.T) {
+	Convey("README.md has a row for every command and for nothing else", t, func() {
+		text, err := os.ReadFile("../README.md")
+		So(err, ShouldBeNil)
+		var named []string
+		for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+)` \\| ").FindAllStringSubmatch(string(text), -1) {
+			named = append(named, m[1])
+		}
+		slices.Sort(named)
+		So(named, ShouldResemble, commandNames())
+	})
+}
+
 // TestHelp guards against a level of the command line whose help is missing, is wider than 80 columns, or does not say
 // what the command needs.
 func TestHelp(t *testing.T) {
 	var b strings.Builder
-	for _, args := range []string{"", "status", "endpoints", "teams", "drain", "drain endpoint", "drain entry"} {
+	for _, args := range append(commandNames(), "", "drain endpoint", "drain entry") {
 		var out, errOut bytes.Buffer
 		code := RunContext(context.Background(), append(strings.Fields(args), "--help"), &out, &errOut)
-		if args != "" {
-			fmt.Fprintf(&b, "$ hibiscusrouter %s --help\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
-		}
+		fmt.Fprintf(&b, "$ hibiscusrouter %s --help\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
 		Convey("Help of "+args+" fits the screen", t, func() {
 			So(code, ShouldEqual, exitOK)
 			So(errOut.String(), ShouldBeEmpty)
@@ -228,7 +255,7 @@
 			}
 		})
 	}
-	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "operator_help", []byte(b.String()))
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "help", []byte(b.String()))
 }
 
 // TestWatch guards against --watch that stops after one answer or goes on after an interrupt.
--- a/hibiscuscommand/apply.go
+++ b/hibiscuscommand/apply.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	applyHelp = "Checks a configuration text, sends it to an entry, and waits until it is in force in every process. The text " +
-		"is accepted only if the current version is the one that it was based on (--base, by default the version read just " +
-		"before). Exit code 0 when it is in force everywhere, 1 when it was refused or some process does not have it in time, " +
-		"2 when the text has errors, 3 when the entry could not be reached."
-	revertHelp = "Makes the text of an earlier version the newest version, and waits until it is in force in every process. " +
-		"The versions in between stay in the history."
+	applyHelp = "Checks a configuration text, sends it to an entry, and waits until it is in force in every process. " +
+		"The text is accepted only if the current version is the one that it was based on (--base, by default the " +
+		"version read just before). Needs the operator's token. Exit code 0 when it is in force everywhere, 1 when it " +
+		"was refused or some process does not have it in time, 2 when the text has errors, 3 when the entry could not be " +
+		"reached."
+	revertHelp = "Makes the text of an earlier version the newest version, and waits until it is in force in every " +
+		"process. The versions in between stay in the history. Needs the operator's token. Exit codes are those of apply."
 
 	// inForcePoll is how often apply asks which processes have the new version.
 	inForcePoll = 100 * time.Millisecond
@@ -28,7 +29,7 @@
 	env *environment
 	configurationFlags
 	Base      int64 `long:"base" default:"-1" default-mask:"current" value-name:"N" description:"version that the text was based on"`
-	TimeoutMS int64 `long:"timeout-ms" default:"10000" description:"how long to wait until every process has it in force"`
+	TimeoutMS int64 `long:"timeout-ms" default:"10000" value-name:"MS" description:"how long to wait until every process has it in force"`
 	Args      struct {
 		File string `positional-arg-name:"FILE" description:"configuration text, - for standard input"`
 	} `positional-args:"true" required:"true"`
@@ -37,7 +38,7 @@
 type revertCommand struct {
 	env *environment
 	configurationFlags
-	TimeoutMS int64 `long:"timeout-ms" default:"10000" description:"how long to wait until every process has it in force"`
+	TimeoutMS int64 `long:"timeout-ms" default:"10000" value-name:"MS" description:"how long to wait until every process has it in force"`
 	Args      struct {
 		Version uint64 `positional-arg-name:"N" description:"version whose text comes back"`
 	} `positional-args:"true" required:"true"`
--- a/hibiscuscommand/history.go
+++ b/hibiscuscommand/history.go
@@ -11,14 +11,15 @@
 
 const (
 	historyHelp = "Prints the newest entries of the audit trail: who did what, from where and when, and which configuration " +
-		"version came of it. Entries older than 30 days come from the object store."
-	diffHelp = "Prints the lines that differ between two versions of the configuration. Exit code 0 also when none do."
+		"version came of it. Entries older than 30 days come from the object store. Needs the viewer's token."
+	diffHelp = "Prints the lines that differ between two versions of the configuration. Exit code 0 also when none " +
+		"do. Needs the viewer's token."
 )
 
 type historyCommand struct {
 	env *environment
 	configurationFlags
-	Limit int `long:"limit" default:"20" description:"number of entries, at most 1000"`
+	Limit int `long:"limit" default:"20" value-name:"N" description:"number of entries, at most 1000"`
 }
 
 type auditView struct {
--- a/hibiscuscommand/job.go
+++ b/hibiscuscommand/job.go
@@ -17,8 +17,8 @@
 type jobCommand struct {
 	env   *environment
 	User  string `long:"user" default:"nokkhao" choice:"nokkhao" choice:"port_louis" description:"whose work"`
-	Tasks int    `long:"tasks" default:"1800" description:"number of tasks, at most 1800 are taken in one job"`
-	RunMS int64  `long:"run-ms" default:"-1" description:"run time of every task, -1 for that of its kind"`
+	Tasks int    `long:"tasks" default:"1800" value-name:"N" description:"number of tasks, at most 1800 are taken in one job"`
+	RunMS int64  `long:"run-ms" default:"-1" value-name:"MS" description:"run time of every task, -1 for that of its kind"`
 }
 
 type jobFile struct {
--- a/hibiscuscommand/load.go
+++ b/hibiscuscommand/load.go
@@ -25,15 +25,15 @@
 	Entry     string `long:"entry" default:"127.0.0.1:7110" value-name:"HOST:PORT" description:"caller_address of the entry"`
 	Sessions  string `long:"sessions" default:"127.0.0.1:7210" value-name:"HOST:PORT" description:"session_address of the entry, for --agents"`
 	SharedKey string `long:"shared-key" default:"a shared key for the example only" description:"shared_key of the deployment, for --agents"`
-	Agents    int    `long:"agents" default:"0" description:"agents to run here, for measurements only"`
-	Slots     int    `long:"slots" default:"8" description:"slots of each of these agents"`
-	Callers   int    `long:"callers" default:"16" description:"jobs in flight"`
-	Tasks     int    `long:"tasks" default:"100" description:"tasks of a job"`
-	Payload   int    `long:"payload" default:"100" description:"bytes of a payload"`
-	Seconds   int    `long:"seconds" default:"5" description:"how long to submit, at most 60"`
-	Team      string `long:"team" default:"nokkhao" description:"team that submits"`
-	Service   string `long:"service" default:"sighting" description:"service to submit to"`
-	Kind      string `long:"kind" default:"plausibility_check" description:"kind of the tasks"`
+	Agents    int    `long:"agents" default:"0" value-name:"N" description:"agents to run here, for measurements only"`
+	Slots     int    `long:"slots" default:"8" value-name:"N" description:"slots of each of these agents"`
+	Callers   int    `long:"callers" default:"16" value-name:"N" description:"jobs in flight"`
+	Tasks     int    `long:"tasks" default:"100" value-name:"N" description:"tasks of a job"`
+	Payload   int    `long:"payload" default:"100" value-name:"N" description:"bytes of a payload"`
+	Seconds   int    `long:"seconds" default:"5" value-name:"N" description:"how long to submit, at most 60"`
+	Team      string `long:"team" default:"nokkhao" value-name:"NAME" description:"team that submits"`
+	Service   string `long:"service" default:"sighting" value-name:"NAME" description:"service to submit to"`
+	Kind      string `long:"kind" default:"plausibility_check" value-name:"NAME" description:"kind of the tasks"`
 	Output    string `long:"output" default:"text" choice:"text" choice:"json" description:"form of the result"`
 }
 
--- a/hibiscuscommand/measure.go
+++ b/hibiscuscommand/measure.go
@@ -13,8 +13,8 @@
 
 type measureCommand struct {
 	env        *environment
-	Deployment string `long:"deployment" required:"true" choice:"port_louis" choice:"nokkhao" description:"installation to measure"`
-	Seed       uint64 `long:"seed" default:"1" description:"seed of the demand and of all jitter"`
+	Deployment string `long:"deployment" required:"true" choice:"port_louis" choice:"nokkhao" description:"installation to measure, required"`
+	Seed       uint64 `long:"seed" default:"1" value-name:"N" description:"seed of the demand and of all jitter"`
 	Output     string `long:"output" default:"text" choice:"text" choice:"json" description:"form of the figures"`
 	Plot       string `long:"plot" value-name:"FILE.svg" description:"write response times and the surge over time as SVG"`
 }
--- a/hibiscuscommand/plan.go
+++ b/hibiscuscommand/plan.go
@@ -8,8 +8,8 @@
 )
 
 const planHelp = "Prints what a configuration text would change in services, kinds, dependencies and teams, and whom each " +
-	"change affects. Nothing is changed. Apply the text with --base and the version that plan prints to be sure that nobody " +
-	"changed anything in between."
+	"change affects. Nothing is changed. Needs the viewer's token. Apply the text with --base and the version that plan " +
+	"prints to be sure that nobody changed anything in between."
 
 type planCommand struct {
 	env *environment
--- a/hibiscuscommand/processes.go
+++ b/hibiscuscommand/processes.go
@@ -16,21 +16,24 @@
 )
 
 const (
-	entryHelp = "Serves callers over HTTP and dispatches their tasks to agents. Stops gracefully on SIGTERM: leaves the " +
-		"balancer, finishes its jobs, answers its callers."
-	agentHelp = "Runs beside an endpoint, takes its announcement, and hands it tasks from the entries. Stops gracefully on " +
-		"SIGTERM: takes no new work and finishes what it has."
-	platformHelp = "A stand-in for tests and trials that keeps everything in memory. PUT /v1/faults switches outage, " +
-		"slowness and lost answers; GET /v1/counters tells reads and writes."
-	endpointHelp = "A stand-in for tests and trials. A payload like {\"run_ms\": 80, \"behavior\": \"fail\"} says how long a " +
-		"task takes and whether it fails, hangs or is not run."
+	entryHelp = "Serves callers over HTTP and dispatches their tasks to agents. Stops gracefully on SIGTERM: leaves " +
+		"the balancer, finishes its jobs, answers its callers. It takes jobs once a configuration was applied. " +
+		"docs/operations.md lists the settings, examples/processes has some to start from."
+	agentHelp = "Runs beside an endpoint, takes its announcement, and hands it tasks from the entries. Stops " +
+		"gracefully on SIGTERM: takes no new work and finishes what it has. docs/operations.md lists the settings, " +
+		"examples/processes has some to start from."
+	platformHelp = "Serves the table service and the object store that entries and agents use, for tests and trials, " +
+		"and keeps everything in memory. PUT /v1/faults switches outage, slowness and lost answers; GET /v1/counters " +
+		"tells reads and writes."
+	endpointHelp = "Announces itself to an agent and runs tasks by waiting, for tests and trials. A payload like " +
+		"{\"run_ms\": 80, \"behavior\": \"fail\"} says how long a task takes and whether it fails, hangs or is not run."
 )
 
 func newIncarnation() hibiscusstate.Incarnation { return hibiscusstate.Incarnation(rand.Uint64()) }
 
 type entryCommand struct {
 	env      *environment
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML)"`
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML), required"`
 	Profile  string `long:"cpu-profile" value-name:"FILE" description:"write a profile of the processor time (pprof)"`
 }
 
@@ -50,7 +53,7 @@
 
 type agentCommand struct {
 	env      *environment
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML)"`
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML), required"`
 }
 
 // Execute implements flags.Commander.
@@ -79,11 +82,11 @@
 
 type endpointCommand struct {
 	env     *environment
-	Service string `long:"service" required:"true" description:"service that the endpoint serves"`
-	Listen  string `long:"listen" required:"true" value-name:"HOST:PORT" description:"where to take tasks"`
-	Agent   string `long:"agent" required:"true" value-name:"HOST:PORT" description:"endpoint_address of its agent"`
-	Slots   int    `long:"slots" default:"8" description:"tasks run at once"`
-	RunMS   int64  `long:"run-ms" default:"50" description:"run time of a task whose payload names none"`
+	Service string `long:"service" required:"true" value-name:"NAME" description:"service that the endpoint serves, required"`
+	Listen  string `long:"listen" required:"true" value-name:"HOST:PORT" description:"where to take tasks, required"`
+	Agent   string `long:"agent" required:"true" value-name:"HOST:PORT" description:"endpoint_address of its agent, required"`
+	Slots   int    `long:"slots" default:"8" value-name:"N" description:"tasks run at once"`
+	RunMS   int64  `long:"run-ms" default:"50" value-name:"MS" description:"run time of a task whose payload names none"`
 	FailAll bool   `long:"fail-all" description:"fail every task at once"`
 }
 
--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -15,6 +15,12 @@
 	"hibiscusrouter/hibiscusprotocol"
 )
 
+const programHelp = "hibiscusrouter dispatches short tasks from callers to the endpoints that run them. Start with " +
+	"\"hibiscusrouter demo\", which needs nothing else; README.md has an example with separate processes. The processes are " +
+	"entry (serves callers and operators) and agent (one beside each endpoint); platform and endpoint are stand-ins for trials. " +
+	"\"hibiscusrouter COMMAND --help\" explains a command. Exit codes: 0 done, 1 failed or refused, 2 wrong flags, settings or " +
+	"text, 3 a process could not be reached."
+
 // Exit codes, for scripts.
 const (
 	exitOK      = 0
@@ -58,7 +64,7 @@
 
 func run(env *environment, args []string) int {
 	parser := flags.NewNamedParser("hibiscusrouter", flags.HelpFlag|flags.PassDoubleDash)
-	parser.ShortDescription = "dispatcher for sub-second tasks"
+	parser.LongDescription = programHelp
 	if err := addCommands(parser, env); err != nil {
 		fmt.Fprintf(env.err, "hibiscusrouter: %v\n", err)
 		return exitUsage
@@ -101,8 +107,8 @@
 		{"demo", "run a small deployment in one process and answer a job", demoHelp, &demoCommand{env: env}},
 		{"entry", "run an entry process", entryHelp, &entryCommand{env: env}},
 		{"agent", "run an agent process beside an endpoint", agentHelp, &agentCommand{env: env}},
-		{"platform", "run the stand-in for the platform's table service and object store", platformHelp, &platformCommand{env: env}},
-		{"endpoint", "run the stand-in for an endpoint", endpointHelp, &endpointCommand{env: env}},
+		{"platform", "run a stand-in for the platform, for trials", platformHelp, &platformCommand{env: env}},
+		{"endpoint", "run a stand-in for an endpoint, for trials", endpointHelp, &endpointCommand{env: env}},
 		{"submit", "submit a job file and print its answer", submitHelp, &submitCommand{env: env}},
 		{"check", "check a configuration text without an entry", checkHelp, &checkCommand{env: env}},
 		{"plan", "show what a configuration text would change", planHelp, &planCommand{env: env}},
@@ -110,13 +116,13 @@
 		{"history", "show the audit trail", historyHelp, &historyCommand{env: env}},
 		{"diff", "show the difference between two configuration versions", diffHelp, &diffCommand{env: env}},
 		{"revert", "apply the text of an earlier configuration version", revertHelp, &revertCommand{env: env}},
-		{"measure", "measure the dispatch decisions against a baseline", measureHelp, &measureCommand{env: env}},
-		{"job", "print a job file like the users'", jobHelp, &jobCommand{env: env}},
+		{"measure", "measure the dispatch decisions in virtual time", measureHelp, &measureCommand{env: env}},
+		{"job", "print an example job file", jobHelp, &jobCommand{env: env}},
 		{"load", "drive an entry and print its task throughput", loadHelp, &loadCommand{env: env}},
 		{"capacity", "measure what one more session, task or team costs", capacityHelp, &capacityCommand{env: env}},
 		{"status", "show services, queues, refusals and endpoints that are out", statusHelp, &statusCommand{env: env}},
 		{"endpoints", "list the endpoints that an entry sees", endpointsHelp, &endpointsCommand{env: env}},
-		{"teams", "list the teams and what they have in the system", teamsHelp, &teamsCommand{env: env}},
+		{"teams", "list the teams with their waiting and running tasks", teamsHelp, &teamsCommand{env: env}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
--- a/hibiscuscommand/status.go
+++ b/hibiscuscommand/status.go
@@ -24,7 +24,7 @@
 	env *environment
 	outputFlags
 	Entries []string `long:"entry" default:"127.0.0.1:7100" value-name:"HOST:PORT" description:"caller_address of an entry; may be repeated"`
-	Token   string   `long:"token" env:"HIBISCUSROUTER_TOKEN" default-mask:"-" description:"viewer_token or operator_token of the entries"`
+	Token   string   `long:"token" env:"HIBISCUSROUTER_TOKEN" value-name:"TOKEN" default-mask:"-" description:"viewer_token or operator_token"`
 	All     bool     `long:"all" description:"ask all entries and show the sums"`
 	Watch   bool     `long:"watch" description:"repeat every second until interrupted"`
 }
--- a/hibiscuscommand/submit.go
+++ b/hibiscuscommand/submit.go
@@ -18,9 +18,9 @@
 type submitCommand struct {
 	env     *environment
 	Entry   string `long:"entry" default:"127.0.0.1:7100" value-name:"HOST:PORT" description:"caller_address of an entry"`
-	Key     string `long:"key" description:"submission key of an earlier try"`
+	Key     string `long:"key" value-name:"KEY" description:"submission key of an earlier try"`
 	Output  string `long:"output" default:"text" choice:"text" choice:"json" description:"form of the answer"`
-	RetryMS int64  `long:"retry-ms" default:"5000" description:"how long to follow the retry hints of refusals that were not run"`
+	RetryMS int64  `long:"retry-ms" default:"5000" value-name:"MS" description:"how long to follow the retry hints of refusals"`
 	Args    struct {
 		File string `positional-arg-name:"JOB-FILE" description:"job file, - for standard input"`
 	} `positional-args:"true" required:"true"`
