--- a/hibiscuscommand/admin_test.go
+++ b/hibiscuscommand/admin_test.go
@@ -7,13 +7,16 @@
 	"io"
 	"log/slog"
 	"net/http/httptest"
+	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 	"unicode/utf8"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/jessevdk/go-flags"
 	"github.com/sebdah/goldie/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -196,16 +199,43 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "status_all", []byte(whole+refused))
 }
 
-// TestConfigurationInForce guards against an entry that serves by its initial text and is shown as without configuration.
+// TestConfigurationInForce guards against an entry that serves by the demo's own text, version 0, and is shown as without
+// configuration.
 func TestConfigurationInForce(t *testing.T) {
-	Convey("status tells none, the initial text and an accepted version apart", t, func() {
+	Convey("status tells none, the demo's text and an accepted version apart", t, func() {
 		var got []string
 		for _, body := range []string{`{}`, `{"configured":true}`, `{"configured":true,"configuration_version":7}`} {
 			var v statusView
 			So(decodeAnswer([]byte(body), &v), ShouldBeNil)
 			got = append(got, v.configuration())
 		}
-		So(got, ShouldResemble, []string{"no configuration", "initial_text", "configuration 7"})
+		So(got, ShouldResemble, []string{"no configuration", "configuration 0", "configuration 7"})
+	})
+}
+
+// commandNames returns the commands in the order in which they are listed.
+func commandNames() []string {
+	parser := flags.NewNamedParser("hibiscusrouter", flags.None)
+	must(addCommands(parser, &environment{}))
+	var names []string
+	for _, c := range parser.Commands() {
+		names = append(names, c.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestReadmeNamesCommands guards against a command that README.md does not name, and against one that is gone.
+func TestReadmeNamesCommands(t *testing.T) {
+	Convey("README.md has a row for every command and for nothing else", t, func() {
+		text, err := os.ReadFile("../README.md")
+		So(err, ShouldBeNil)
+		var named []string
+		for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+)` \\| ").FindAllStringSubmatch(string(text), -1) {
+			named = append(named, m[1])
+		}
+		slices.Sort(named)
+		So(named, ShouldResemble, commandNames())
 	})
 }
 
@@ -213,12 +243,10 @@
 // what the command needs.
 func TestHelp(t *testing.T) {
 	var b strings.Builder
-	for _, args := range []string{"", "status", "endpoints", "teams", "drain", "drain endpoint", "drain entry"} {
+	for _, args := range append(commandNames(), "", "drain endpoint", "drain entry") {
 		var out, errOut bytes.Buffer
 		code := RunContext(context.Background(), append(strings.Fields(args), "--help"), &out, &errOut)
-		if args != "" {
-			fmt.Fprintf(&b, "$ hibiscusrouter %s --help\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
-		}
+		fmt.Fprintf(&b, "$ hibiscusrouter %s --help\n%s%s-> exit code %d\n\n", args, out.String(), errOut.String(), code)
 		Convey("Help of "+args+" fits the screen", t, func() {
 			So(code, ShouldEqual, exitOK)
 			So(errOut.String(), ShouldBeEmpty)
@@ -227,7 +255,7 @@
 			}
 		})
 	}
-	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "operator_help", []byte(b.String()))
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "help", []byte(b.String()))
 }
 
 // TestWatch guards against --watch that stops after one answer or goes on after an interrupt.
