Take stragglers out like failing workers

Cause: a straggler had no rule. Ruled out: a lower rank in placement, which has no trial to come back by; the mean of the service as measure, which a straggler among four workers draws up so far that it is never found (TestStraggler showed it); the median stays. Conclusion: kept; one long task takes no worker out, three fast trials bring it back (TestStraggler).

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -84,6 +84,7 @@
 	usable   float64
 	longs    int
 	failures float64
+	slowness float64
 	retries  float64
 	totals   serviceTotals
 }
--- a/hibiscuscoordination/health.go
+++ b/hibiscuscoordination/health.go
@@ -8,7 +8,8 @@
 )
 
 // Health is judged from the results that come anyway. A worker whose tasks all fail, while those of the others do not, is
-// taken out and tried again with one task after a growing delay; one task that finishes brings it back.
+// taken out and tried again with one task after a growing delay; one task that finishes brings it back. So is a straggler,
+// whose tasks take several times as long as the same tasks on the others; it comes back when its trials are fast again.
 
 const (
 	// outAfterFailures is how many failures in a row take a worker out.
@@ -19,6 +20,22 @@
 	serviceFailureLimit = 0.5
 	// failureWeight is the weight of the newest result in the service's part of failures.
 	failureWeight = 1.0 / 32
+	// slowFactor is how many times slower than the service's median a worker has to be to be taken out, and backFactor how
+	// many times slower it may be when it comes back.
+	slowFactor = 3
+	backFactor = 2
+	// slowRuns is how many finished tasks are needed to call a worker slow; with fewer, one long task is enough.
+	slowRuns = 16
+	// maxSlowness bounds what one task counts: a task that is a hundred times as long as predicted says little about its
+	// worker.
+	maxSlowness = 8
+	// speedWeight and trialSpeedWeight are the weights of the newest task in a worker's moving mean. A trial counts more, so
+	// that three fast ones bring a worker back.
+	speedWeight      = 1.0 / 16
+	trialSpeedWeight = 1.0 / 2
+	// poolSpeedStep is the part by which one task moves the service's median.
+	poolSpeedStep = 1.0 / 64
+
 	firstTrial    = 2 * time.Second
 	maxTrialDelay = 60 * time.Second
 )
@@ -30,31 +47,68 @@
 	case hibiscusstate.OutcomeFinished:
 		a.pool.failures -= a.pool.failures * failureWeight
 		w.CountFinished()
-		w.ClearTrial()
-		if w.Health() == hibiscusstate.HealthOnTrial {
-			w.SetHealth(hibiscusstate.HealthGood, "")
-			d.event(NewWorkerEvent(hibiscusstate.EventWorkerBack, w, "a trial task finished"))
-		}
+		d.judgeSpeed(now, a, t, r.RunTime())
 	case hibiscusstate.OutcomeFailed, hibiscusstate.OutcomeMayHaveRun:
 		a.pool.failures += (1 - a.pool.failures) * failureWeight
 		// A task that fails at once would free its slot at once and draw the next task to the broken worker.
 		w.Hold(t.SentAt().Add(t.Expected()))
 		failures := w.CountFailed()
 		if failures >= outAfterFailures || w.Health() == hibiscusstate.HealthOnTrial {
-			d.takeOut(now, a, failures)
+			d.takeOut(now, a, fmt.Sprintf("%d tasks in a row failed", failures))
 		}
 	case hibiscusstate.OutcomeStopped, hibiscusstate.OutcomeNotRun, hibiscusstate.OutcomePending:
 	}
 }
 
-func (d *Dispatcher) takeOut(now time.Time, a *assignment, failures int) {
+// judgeSpeed compares a finished task with its prediction, and the worker with the service's median: wrong predictions are
+// the same for all workers.
+func (d *Dispatcher) judgeSpeed(now time.Time, a *assignment, t *hibiscusstate.Task, runTime time.Duration) {
+	w := a.worker
+	onTrial := w.Health() == hibiscusstate.HealthOnTrial
+	ratio := min(float64(runTime)/float64(max(t.Expected(), time.Millisecond)), maxSlowness*max(a.pool.slowness, 1))
+	weight := speedWeight
+	if onTrial {
+		weight = trialSpeedWeight
+	}
+	w.ObserveSpeed(ratio, weight)
+	a.pool.followSpeed(ratio)
+	limit := slowFactor * a.pool.slowness
+	if onTrial {
+		limit = backFactor * a.pool.slowness
+	}
+	switch {
+	case w.Runs() >= slowRuns && w.Slowness() > limit:
+		d.takeOut(now, a, fmt.Sprintf("its tasks take %.1f times as long as the service's", w.Slowness()/a.pool.slowness))
+	case onTrial:
+		w.ClearTrial()
+		w.SetHealth(hibiscusstate.HealthGood, "")
+		d.event(NewWorkerEvent(hibiscusstate.EventWorkerBack, w, "a trial task finished"))
+	case w.Health() == hibiscusstate.HealthGood:
+		w.ClearTrial()
+	}
+}
+
+// followSpeed follows the median of run time / predicted run time: each task moves it by a fixed part up or down. A mean was
+// drawn so far up by a straggler among four workers that it was never found.
+func (p *pool) followSpeed(ratio float64) {
+	switch {
+	case p.slowness == 0:
+		p.slowness = ratio
+	case ratio > p.slowness:
+		p.slowness += poolSpeedStep * p.slowness
+	default:
+		p.slowness -= poolSpeedStep * p.slowness
+	}
+}
+
+func (d *Dispatcher) takeOut(now time.Time, a *assignment, cause string) {
 	w := a.worker
 	onTrial := w.Health() == hibiscusstate.HealthOnTrial
 	if !onTrial && (w.Health() != hibiscusstate.HealthGood || a.pool.failures > serviceFailureLimit || !d.mayTakeOut(a.pool)) {
 		return
 	}
 	delay := min(max(2*w.TrialDelay(), firstTrial), maxTrialDelay)
-	w.SetOut(now.Add(delay), delay, fmt.Sprintf("%d tasks in a row failed", failures))
+	w.SetOut(now.Add(delay), delay, cause)
 	if !onTrial {
 		d.event(NewWorkerEvent(hibiscusstate.EventWorkerOut, w, w.HealthCause()))
 	}
--- a/hibiscuscoordination/policy_test.go
+++ b/hibiscuscoordination/policy_test.go
@@ -136,6 +136,42 @@
 	s.golden("policy_failing_worker")
 }
 
+// TestStraggler guards against a worker that takes five times as long as the others and keeps getting tasks, against
+// one long task that takes a good worker out, and against a worker that is fast again and never comes back.
+func TestStraggler(t *testing.T) {
+	s := newPolicyScene(t, 4)
+	work := func(first, others time.Duration) {
+		s.submit(24, "right")
+		s.pass(100 * time.Millisecond)
+		for _, worker := range []hibiscusstate.Incarnation{101, 102, 103} {
+			s.finish(worker, hibiscusstate.OutcomeFinished, others)
+		}
+		s.note("worker 1 had %d tasks of %v", s.finish(100, hibiscusstate.OutcomeFinished, first), first)
+	}
+	const usual = 100 * time.Millisecond
+	for range 4 {
+		work(usual, usual)
+	}
+	s.submit(24, "right")
+	long := hibiscusstate.NewResult(s.has[100][0].Try(), hibiscusstate.OutcomeFinished, nil, "", 100*usual).WithLoad(0, 0, 1)
+	s.d.Reports(s.now, 100, []hibiscusstate.Report{long})
+	s.has[100] = s.has[100][1:]
+	s.note("worker 1 had one task of %v", 100*usual)
+	work(usual, usual)
+	for range 5 {
+		work(5*usual, usual)
+	}
+	for range 8 {
+		s.pass(2 * time.Second)
+		work(5*usual, usual)
+	}
+	for range 30 {
+		s.pass(2 * time.Second)
+		work(usual, usual)
+	}
+	s.golden("policy_straggler")
+}
+
 // TestDependencyDown guards against work that is taken while a service that it needs has no endpoint, and is lost or fails.
 func TestDependencyDown(t *testing.T) {
 	s := newPolicyScene(t, 1)
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -24,6 +24,8 @@
 	connected   bool
 	failures    int
 	outUntil    time.Time
+	slowness    float64
+	runs        int
 	trialDelay  time.Duration
 	lease       uint64
 	heapIndex   int
@@ -230,3 +232,15 @@
 
 // ClearTrial forgets the delay of earlier trials.
 func (w *Worker) ClearTrial() { w.trialDelay = 0 }
+
+// ObserveSpeed adds a finished task that took ratio times its predicted run time, with the weight of the newest.
+func (w *Worker) ObserveSpeed(ratio, weight float64) {
+	w.runs++
+	w.slowness += max(weight, 1/float64(w.runs)) * (ratio - w.slowness)
+}
+
+// Slowness returns the moving mean of run time / predicted run time, zero before the first finished task.
+func (w *Worker) Slowness() float64 { return w.slowness }
+
+// Runs returns the number of finished tasks behind Slowness.
+func (w *Worker) Runs() int { return w.runs }
