Prove an hour without the table service in a session

Cause: no session had a table outage while jobs run, entries die and processes join.

Ruled out: looking at the versions every 10 ms for the whole hour; this session looks every 100 ms. Stopping agents at an open point between two steps: before a step was added there, 1 of 4 runs noted the times a tenth of a second later.

Killed entries whose queued tasks were not at an agent answer may_have_run for those.

Conclusion: jobs, joins and the highest version survive the outage. Loss of an edit's answer is not part of this session.

--- a/hibiscusprocess/configuration_test.go
+++ b/hibiscusprocess/configuration_test.go
@@ -38,13 +38,20 @@
 	noted    map[string]uint64
 	store    *hibiscusprotocol.ConfigurationStore
 	members  *hibiscusprotocol.MemberStore
+	every    time.Duration
+	merged   bool
 }
 
 func inFleet(t *testing.T, golden string, session func(f *fleet)) {
+	observeFleet(t, golden, observeEvery, session)
+}
+
+// observeFleet runs a session whose observer looks at the versions at the given interval.
+func observeFleet(t *testing.T, golden string, every time.Duration, session func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
 			deployment: newDeployment(t), platform: hibiscusstandin.NewPlatform(), versions: map[string]func() uint64{},
-			last: map[string]uint64{}, noted: map[string]uint64{},
+			last: map[string]uint64{}, noted: map[string]uint64{}, every: every,
 		}
 		host := f.network.Host()
 		l, err := host.Listen(platformAddress)
@@ -57,6 +64,9 @@
 		f.duties.Go(f.observe)
 		session(f)
 		f.close()
+		if f.merged {
+			f.merge()
+		}
 		f.golden(golden)
 	})
 }
@@ -84,7 +94,7 @@
 			}
 		}
 		f.watched.Unlock()
-		time.Sleep(observeEvery)
+		time.Sleep(f.every)
 	}
 }
 
@@ -107,7 +117,7 @@
 // entryUp starts an entry that knows the given seed entries.
 func (f *fleet) entryUp(name string, seeds ...string) {
 	settings, err := hibiscusprotocol.ParseEntrySettings(name, fmt.Appendf(nil,
-		"%scaller_address: %s:7100\nsession_address: %s:7200\ndrain_ms: 0\nseed_entries: [%s]\n",
+		"%scaller_address: %s:7100\nsession_address: %s:7200\ndrain_ms: 0\nseed_entries: [%s]\n"+testTokens,
 		fleetSettings, name, name, strings.Join(seeds, ", ")))
 	f.must(err)
 	host := f.network.Host()
--- /dev/null
+++ b/hibiscusprocess/outage_test.go
@@ -0,0 +1,87 @@
+package hibiscusprocess
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// An hour without the table service. Submissions need no table, a starting process finds the others through its seeds and
+// their member lists, and the version that was accepted just before the outage waits for its end.
+
+// exercise gives an entry a job that is resubmitted to another entry while it runs and when it is finished, and a job that
+// runs when the entry is killed; then the entry starts again.
+func (f *fleet) exercise(phase, entry, other string) {
+	key := f.key(entry, phase+"-1")
+	first := f.also(func() { f.submit("caller 1", entry, key, syncs(4, 500)) })
+	time.Sleep(50 * time.Millisecond)
+	f.submit("caller 2", other, key, syncs(4, 500))
+	first()
+	f.submit("caller 2", other, key, syncs(4, 500))
+	f.step()
+	key = f.key(entry, phase+"-2")
+	first = f.also(func() { f.submit("caller 1", entry, key, syncs(4, 1000)) })
+	time.Sleep(50 * time.Millisecond)
+	f.crash("entry", entry)
+	first()
+	f.submit("caller 1", other, key, syncs(4, 1000))
+	f.submit("caller 2", other, key, syncs(4, 1000))
+	f.step()
+	f.entryUp(entry, other+":7200")
+	time.Sleep(settleTime)
+}
+
+// edit sends a text that adds a team, based on a version.
+func (f *fleet) edit(entry string, base uint64) {
+	f.note("operator -> entry %s: edit version %d", entry, base)
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry+":7100/v1/admin/configurations", strings.NewReader(
+		fmt.Sprintf(`{"base_version":%d,"text":%q}`, base, testText+"  - {name: surveys, share: 40, max_queued: 10}\n")))
+	f.must(err)
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	f.do("operator", request)
+	f.step()
+}
+
+// TestTableOutage guards against new jobs that need the table, second starts under a key while no process can ask the table,
+// an edit that is lost or half taken, processes that can't join without the table, and a version that is not in force, or
+// reverts, when the table is back.
+func TestTableOutage(t *testing.T) {
+	observeFleet(t, "table_outage", noteEvery, func(f *fleet) {
+		f.merged = true
+		f.entryUp("10.0.1.1")
+		f.entryUp("10.0.1.2", "10.0.1.1:7200")
+		f.agentUp("10.0.2.1", "10.0.1.1:7200")
+		f.agentUp("10.0.2.2", "10.0.1.2:7200")
+		f.accept(0)
+		time.Sleep(10 * time.Second)
+		f.exercise("before", "10.0.1.1", "10.0.1.2")
+		time.Sleep(10 * time.Second)
+		f.accept(1)
+		f.outage(true)
+		f.exercise("at its start", "10.0.1.1", "10.0.1.2")
+		f.edit("10.0.1.1", 1)
+		f.edit("10.0.1.2", 0)
+		time.Sleep(30 * time.Minute)
+		f.entryUp("10.0.1.3", "10.0.1.2:7200")
+		time.Sleep(settleTime)
+		f.agentUp("10.0.2.3", "10.0.1.3:7200")
+		time.Sleep(settleTime)
+		f.ready("10.0.1.3")
+		f.known("10.0.1.1")
+		f.known("10.0.1.3")
+		f.step()
+		f.note("the agents from before the outage stop, so that the fresh one serves alone")
+		f.down("agent", "10.0.2.1")
+		f.down("agent", "10.0.2.2")
+		f.exercise("fresh", "10.0.1.3", "10.0.1.1")
+		time.Sleep(time.Until(f.began.Add(time.Hour + 30*time.Second)))
+		f.exercise("at its end", "10.0.1.2", "10.0.1.3")
+		f.outage(false)
+		time.Sleep(4 * time.Second)
+		f.edit("10.0.1.3", 2)
+		time.Sleep(4 * time.Second)
+		f.exercise("after", "10.0.1.1", "10.0.1.2")
+	})
+}
