Let the demo apply its text through the platform's stand-in

Cause: found in the read-through. The demo put its text in force by itself, without a table, so the first command of the README did not show the path that a deployment has, and no test ran it. Ruled out: nothing else. Conclusion: the demo is the whole path on loopback.

--- a/hibiscuscommand/demo.go
+++ b/hibiscuscommand/demo.go
@@ -11,12 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"hibiscusrouter/hibiscusprocess"
 	"hibiscusrouter/hibiscusprotocol"
 	"hibiscusrouter/hibiscusstandin"
-	"hibiscusrouter/hibiscusstate"
 	"hibiscusrouter/hibiscustransport"
 )
 
@@ -32,8 +29,10 @@
 const (
 	demoAgents  = 3
 	demoSlots   = 8
+	demoPoll    = 50 * time.Millisecond
 	demoTimeout = 10 * time.Second
 	demoKey     = "a shared key for the demo only"
+	demoToken   = "an operator token for the demo only"
 )
 
 type demoCommand struct {
@@ -59,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.awaitReady(callers); err != nil {
+	if err := d.apply(callers, c.Output); err != nil {
 		return err
 	}
 	submit := &submitCommand{env: c.env, Entry: callers, Output: c.Output}
@@ -76,27 +75,27 @@
 
 // start runs all processes and returns the address for callers.
 func (d *demo) start() (string, error) {
-	addresses, err := freeAddresses(2 + 2*demoAgents)
+	addresses, err := freeAddresses(3 + 2*demoAgents)
 	if err != nil {
 		return "", err
 	}
-	callers, sessions := addresses[0], addresses[1]
-	document, err := hibiscusprotocol.ParseText("demo_text.yaml", demoText)
+	callers, sessions, table := addresses[0], addresses[1], addresses[2]
+	l, err := net.Listen("tcp", table)
 	if err != nil {
 		return "", err
 	}
+	d.run("platform", func(ctx context.Context) error {
+		return hibiscustransport.ServeHTTP(ctx, l, hibiscusstandin.NewPlatform().Handler(), time.Second)
+	})
 	settings, err := hibiscusprotocol.ParseEntrySettings("demo", fmt.Appendf(nil,
-		"caller_address: %s\nsession_address: %s\nfailure_domain: a\nshared_key: %s\ndrain_ms: 0\n", callers, sessions, demoKey))
+		"caller_address: %s\nsession_address: %s\nplatform_address: %s\nfailure_domain: a\nshared_key: %s\n"+
+			"operator_token: %s\ndrain_ms: 0\n", callers, sessions, table, demoKey, demoToken))
 	if err != nil {
 		return "", err
 	}
-	entry := hibiscusprocess.NewEntry(settings, newIncarnation(), hibiscustransport.NewTCPNetwork(), d.log)
-	d.run("entry", entry.Run)
-	if err := entry.Duty().Configure(hibiscusstate.NewConfiguration(1, string(demoText), document)); err != nil {
-		return "", err
-	}
+	d.run("entry", hibiscusprocess.NewEntry(settings, newIncarnation(), hibiscustransport.NewTCPNetwork(), d.log).Run)
 	for i := range demoAgents {
-		if err := d.startWorker(addresses[2+2*i], addresses[3+2*i], sessions); err != nil {
+		if err := d.startWorker(addresses[3+2*i], addresses[4+2*i], sessions); err != nil {
 			return "", err
 		}
 	}
@@ -127,19 +126,26 @@
 	})
 }
 
-// awaitReady waits until the entry takes jobs.
-func (d *demo) awaitReady(callers string) error {
-	for d.ctx.Err() == nil {
-		response, err := http.Get("http://" + callers + "/readyz")
+// apply applies the example's text as an operator would, once the entry has read the table.
+func (d *demo) apply(callers, output string) error {
+	env := *d.env
+	env.ctx = d.ctx
+	if output == "json" {
+		env.out = io.Discard
+	}
+	f := &configurationFlags{}
+	f.Entry, f.Token, f.Operator, f.Output = callers, demoToken, "demo", output
+	for {
+		current, err := f.version(&env, "current")
 		if err == nil {
-			response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return nil
-			}
+			return f.edit(&env, string(demoText), current.Version, demoTimeout)
+		}
+		select {
+		case <-d.ctx.Done():
+			return err
+		case <-time.After(demoPoll):
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
-	return errors.Mark(errors.New("the entry did not become ready"), errNoReach)
 }
 
 // freeAddresses returns n loopback addresses that were free a moment ago.
--- /dev/null
+++ b/hibiscuscommand/demo_test.go
@@ -0,0 +1,23 @@
+package hibiscuscommand
+
+import (
+	"bytes"
+	"context"
+	"regexp"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// TestDemo guards against a first command of the README that fails, or prints less than the whole answer of its job.
+func TestDemo(t *testing.T) {
+	var out, errOut bytes.Buffer
+	code := RunContext(context.Background(), []string{"demo"}, &out, &errOut)
+	convey.Convey("the demo succeeds and warns of nothing", t, func() {
+		convey.So(code, convey.ShouldEqual, exitOK)
+		convey.So(errOut.String(), convey.ShouldBeEmpty)
+	})
+	answer := regexp.MustCompile(`(?s)job hr1-.*`).Find(out.Bytes())
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "demo", regexp.MustCompile(`hr1-[-0-9a-f]+`).ReplaceAll(answer, []byte("KEY")))
+}
