Prove the refusals of later tries and of missing dependencies

Cause: docs/proofs.md named both as not proved. Ruled out: nothing else. Conclusion: both refusals are true and leave no record; a refused key can be used again.

--- a/hibiscuscoordination/policy_test.go
+++ b/hibiscuscoordination/policy_test.go
@@ -183,6 +183,34 @@
 	s.golden("policy_dependency_down")
 }
 
+// TestRefusedTries guards against refused callers that keep a surge up by coming back, against a first try that pays for
+// them, and against a refusal that says not run and leaves a trace of its job.
+func TestRefusedTries(t *testing.T) {
+	s := newPolicyScene(t, 1)
+	try := func(key hibiscusstate.SubmissionKey, attempt int) string {
+		told := "admitted"
+		task := []hibiscusstate.TaskSpec{hibiscusstate.NewTaskSpec("right", nil, 0)}
+		s.d.Submit(s.now, NewSubmission(key, 0, "review", "check", task).WithAttempt(attempt).WithWait(time.Hour), func(a *Answer) {
+			told = fmt.Sprintf("%s, not run: %t, retry after %v", a.Refusal(), a.NotRun(), a.RetryAfter())
+		})
+		return told
+	}
+	keys := s.d.IssueKeys(40)
+	for _, key := range keys[:24] {
+		try(key, 1)
+	}
+	for _, key := range keys[24:30] {
+		s.note("second try: %s", try(key, 2))
+	}
+	s.note("first try: %s", try(keys[30], 1))
+	s.d.Capacity(s.now, 200, NewCapacity("lookup", 0, false, 1))
+	s.note("without the service that it needs: %s", try(keys[31], 1))
+	s.note("jobs with a record: %d, tasks that wait: %d", len(s.d.jobs), s.d.pool("check").queue.Len())
+	s.d.Capacity(s.now, 200, NewCapacity("lookup", 1, false, 1))
+	s.note("the refused key again: %s", try(keys[31], 1))
+	s.golden("policy_refused_tries")
+}
+
 // TestStopWaiting guards against an entry that ends on the rejection of a waiting task that it asked to stop: the counters
 // had no place for that reason.
 func TestStopWaiting(t *testing.T) {
