Judge stragglers by medians, so that uneven run times blame no good worker

The rule compared a worker's mean with the service's median. Where a tenth of the tasks of a kind run a hundred times as long, every worker's mean is about ten times the median, and good workers would be taken out. Ruled out: comparing means, which never found a straggler among four workers; a longer memory, which only delays it. Before / after: TestUnevenRunTimes, 1,440 tasks on four good workers, takes none out.

--- a/hibiscuscoordination/health.go
+++ b/hibiscuscoordination/health.go
@@ -24,17 +24,13 @@
 	// many times slower it may be when it comes back.
 	slowFactor = 3
 	backFactor = 2
-	// slowRuns is how many finished tasks are needed to call a worker slow; with fewer, one long task is enough.
+	// slowRuns is how many finished tasks are needed to call a worker slow.
 	slowRuns = 16
-	// maxSlowness bounds what one task counts: a task that is a hundred times as long as predicted says little about its
-	// worker.
-	maxSlowness = 8
-	// speedWeight and trialSpeedWeight are the weights of the newest task in a worker's moving mean. A trial counts more, so
-	// that three fast ones bring a worker back.
-	speedWeight      = 1.0 / 16
-	trialSpeedWeight = 1.0 / 2
-	// poolSpeedStep is the part by which one task moves the service's median.
-	poolSpeedStep = 1.0 / 64
+	// speedStep, trialSpeedStep and poolSpeedStep are the parts by which one task moves the medians of a worker, of a worker
+	// on trial and of the service. A trial counts more, so that a few fast ones bring a worker back.
+	speedStep      = 1.0 / 16
+	trialSpeedStep = 1.0 / 4
+	poolSpeedStep  = 1.0 / 64
 
 	firstTrial    = 2 * time.Second
 	maxTrialDelay = 60 * time.Second
@@ -81,25 +77,20 @@
 	}
 }
 
-// compareSpeed adds a task that took ratio times the usual to the means of its worker and of the service.
+// compareSpeed adds a task that took ratio times the usual to the medians of its worker and of the service. Means won't do:
+// where a tenth of the tasks run a hundred times as long, every worker's mean is far above the service's median, and a
+// straggler among four workers draws the service's mean so far up that it is never found.
 func (p *pool) compareSpeed(w *hibiscusstate.Worker, ratio float64, onTrial bool) {
-	ratio = min(ratio, maxSlowness*max(p.slowness, 1))
-	weight := speedWeight
+	step := speedStep
 	if onTrial {
-		weight = trialSpeedWeight
+		step = trialSpeedStep
 	}
-	w.ObserveSpeed(ratio, weight)
-	p.followSpeed(ratio)
-}
-
-// followSpeed follows the median of run time / learned run time: each task moves it by a fixed part up or down. A mean was
-// drawn so far up by a straggler among four workers that it was never found.
-func (p *pool) followSpeed(ratio float64) {
-	if ratio > p.slowness {
-		p.slowness += poolSpeedStep * p.slowness
-		return
+	w.ObserveSpeed(ratio, p.slowness, step)
+	if onTrial && ratio < backFactor*p.slowness {
+		// The worker may be fast again: the next trials come soon, or it would be out for minutes.
+		w.ClearTrial()
 	}
-	p.slowness -= poolSpeedStep * p.slowness
+	p.slowness = hibiscusstate.FollowMedian(p.slowness, ratio, poolSpeedStep)
 }
 
 func (d *Dispatcher) takeOut(now time.Time, a *assignment, cause string) {
--- a/hibiscuscoordination/policy_test.go
+++ b/hibiscuscoordination/policy_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+	"github.com/smartystreets/goconvey/convey"
 
 	"hibiscusrouter/hibiscusstate"
 )
@@ -226,6 +228,31 @@
 	s.golden("policy_refused_tries")
 }
 
+// TestUnevenRunTimes guards against good workers that are called stragglers because a tenth of the tasks of a kind run a
+// hundred times as long as the others.
+func TestUnevenRunTimes(t *testing.T) {
+	s := newPolicyScene(t, 4)
+	n := 0
+	for range 60 {
+		s.submit(24, "right")
+		s.pass(100 * time.Millisecond)
+		for worker := hibiscusstate.Incarnation(100); worker < 104; worker++ {
+			for len(s.has[worker]) > 0 {
+				took := 100 * time.Millisecond
+				if n++; n%10 == 0 {
+					took *= 100
+				}
+				report := hibiscusstate.NewResult(s.has[worker][0].Try(), hibiscusstate.OutcomeFinished, nil, "", took).WithLoad(0, 0, 1)
+				s.has[worker] = s.has[worker][1:]
+				s.d.Reports(s.now, worker, []hibiscusstate.Report{report})
+			}
+		}
+		s.d.Flush(s.now)
+	}
+	events := slices.DeleteFunc(s.lines, func(line string) bool { return !strings.Contains(line, "event") })
+	convey.Convey("no worker is taken out", t, func() { convey.So(events, convey.ShouldBeEmpty) })
+}
+
 // TestStopWaiting guards against an entry that ends on the rejection of a waiting task that it asked to stop: the counters
 // had no place for that reason.
 func TestStopWaiting(t *testing.T) {
--- a/hibiscusstate/runtimes.go
+++ b/hibiscusstate/runtimes.go
@@ -116,3 +116,12 @@
 func classOf(kind string, payloadBytes int) runClass {
 	return runClass{kind: kind, size: bits.Len(uint(payloadBytes)) / 2}
 }
+
+// FollowMedian returns a running median after another value: it moves by the part step up or down, so that rare large
+// values don't pull it.
+func FollowMedian(median, value, step float64) float64 {
+	if value > median {
+		return median * (1 + step)
+	}
+	return median * (1 - step)
+}
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -233,13 +233,17 @@
 // ClearTrial forgets the delay of earlier trials.
 func (w *Worker) ClearTrial() { w.trialDelay = 0 }
 
-// ObserveSpeed adds a finished task that took ratio times the learned run time, with the weight of the newest.
-func (w *Worker) ObserveSpeed(ratio, weight float64) {
+// ObserveSpeed adds a finished task that took ratio times the learned run time: it moves Slowness by the part step up or
+// down, from usual at the first task.
+func (w *Worker) ObserveSpeed(ratio, usual, step float64) {
+	if w.runs == 0 {
+		w.slowness = usual
+	}
 	w.runs++
-	w.slowness += max(weight, 1/float64(w.runs)) * (ratio - w.slowness)
+	w.slowness = FollowMedian(w.slowness, ratio, step)
 }
 
-// Slowness returns the moving mean of run time / learned run time, zero before the first finished task.
+// Slowness returns the running median of run time / learned run time, zero before the first finished task.
 func (w *Worker) Slowness() float64 { return w.slowness }
 
 // Runs returns the number of finished tasks behind Slowness.
