Prove that unused shares of teams are lent and come back

Cause: no test held the fair queue to its promise for teams. Ruled out: nothing else. Conclusion: shares order only what waits.

--- a/hibiscusstate/queue_test.go
+++ b/hibiscusstate/queue_test.go
@@ -44,3 +44,37 @@
 		convey.So(job.Bytes(), convey.ShouldEqual, 1800*taskRecordBytes)
 	})
 }
+
+// TestTeamShares guards against a team that gets less than its share while others wait, an unused share that lies idle, and
+// a team that is paid back for the time when it had nothing to run.
+func TestTeamShares(t *testing.T) {
+	start := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	q := NewFairQueue()
+	q.SetShare("nokkhao", 60)
+	q.SetShare("surveys", 20)
+	sequence := uint64(0)
+	push := func(team string, n int) {
+		for range n {
+			sequence++
+			job := NewJob(NewSubmissionKey(1, sequence), 0, team, "sighting", start, start.Add(time.Hour))
+			job.AddTasks([]TaskSpec{NewTaskSpec("list_sync", nil, 0)})
+			job.Task(0).SetExpected(100*time.Millisecond, false)
+			q.Push(job.Task(0))
+		}
+	}
+	pop := func(n int) map[string]int {
+		counts := map[string]int{}
+		for range n {
+			counts[q.Pop(true).Job().Team()]++
+		}
+		return counts
+	}
+	push("surveys", 1000)
+	alone := pop(400)
+	push("nokkhao", 1000)
+	convey.Convey("an unused share is lent whole, and comes back as a share, without credit", t, func() {
+		convey.So(alone, convey.ShouldResemble, map[string]int{"surveys": 400})
+		// Weighted fair queueing is exact up to one task of each team.
+		convey.So(pop(400)["nokkhao"], convey.ShouldAlmostEqual, 300, 1)
+	})
+}
