--- a/hibiscuscapacity/path_test.go
+++ b/hibiscuscapacity/path_test.go
@@ -43,7 +43,7 @@
 	go agent.Run()
 	b.Cleanup(func() { p.entry.Stop(); agent.Stop() })
 	p.must(p.entry.Configure(hibiscusstate.NewConfiguration(1, pathText, document)))
-	p.must(agent.Announce("sighting", 8))
+	p.must(agent.Announce("sighting", hibiscusstate.NewRoom(8, 0, 0)))
 	var toAgent, toEntry *hibiscuscoordination.Peer
 	toAgent = hibiscuscoordination.NewPeer(agent.Hello(), p.wire(func(m hibiscuscoordination.Message) error {
 		return agent.PeerMessage(toEntry, m)
--- a/hibiscuscommand/processes.go
+++ b/hibiscuscommand/processes.go
@@ -34,6 +34,7 @@
 type entryCommand struct {
 	env      *environment
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML), required"`
+	Platform bool   `long:"platform" description:"speak the users' platform's protocol to callers and to its store"`
 	Profile  string `long:"cpu-profile" value-name:"FILE" description:"write a profile of the processor time (pprof)"`
 }
 
@@ -48,12 +49,22 @@
 	if err != nil {
 		return err
 	}
-	return hibiscusprocess.NewEntry(settings, newIncarnation(), hibiscustransport.NewTCPNetwork(), c.env.logger()).Run(c.env.ctx)
+	log, closeLog := c.env.processLogger()
+	defer closeLog()
+	network := hibiscustransport.NewTCPNetwork()
+	entry := hibiscusprocess.NewEntry(settings, newIncarnation(), network, log)
+	if c.Platform {
+		adaptEntry(entry, settings, network, log)
+	}
+	stopReload := reloadOnHangup(c.Settings, log)
+	defer stopReload()
+	return entry.Run(c.env.ctx)
 }
 
 type agentCommand struct {
 	env      *environment
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file (YAML), required"`
+	Platform bool   `long:"platform" description:"speak the users' platform's protocol to the endpoint and to the store"`
 }
 
 // Execute implements flags.Commander.
@@ -62,7 +73,16 @@
 	if err != nil {
 		return err
 	}
-	return hibiscusprocess.NewAgent(settings, newIncarnation(), hibiscustransport.NewTCPNetwork(), c.env.logger()).Run(c.env.ctx)
+	log, closeLog := c.env.processLogger()
+	defer closeLog()
+	network := hibiscustransport.NewTCPNetwork()
+	agent := hibiscusprocess.NewAgent(settings, newIncarnation(), network, log)
+	if c.Platform {
+		adaptAgent(agent, settings, network, log)
+	}
+	stopReload := reloadOnHangup(c.Settings, log)
+	defer stopReload()
+	return agent.Run(c.env.ctx)
 }
 
 type platformCommand struct {
--- a/hibiscuscommand/run.go
+++ b/hibiscuscommand/run.go
@@ -13,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"hibiscusrouter/hibiscusprotocol"
+	"hibiscusrouter/hibiscustransport"
 )
 
 const programHelp = "hibiscusrouter dispatches short tasks from callers to the endpoints that run them. Start with " +
@@ -50,6 +51,12 @@
 	return slog.New(slog.NewTextHandler(e.err, &slog.HandlerOptions{Level: slog.LevelInfo}))
 }
 
+// processLogger returns the log of a process, on standard output; it never blocks, and close writes its last lines.
+func (e *environment) processLogger() (log *slog.Logger, closeLog func()) {
+	w := hibiscustransport.NewLogWriter(e.out)
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})), w.Close
+}
+
 // Run executes one command line, without the program's name, and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/hibiscuscoordination/administration_test.go
+++ b/hibiscuscoordination/administration_test.go
@@ -111,11 +111,11 @@
 			return []hibiscusstate.Order{hibiscusstate.NewOrder(hibiscusstate.NewTaskTry(id, 0), 1, 0, "list_sync", nil).
 				WithBudget(time.Second).WithLease(1)}
 		}
-		k.SetEndpoint(now, "sighting", 8)
+		k.SetEndpoint(now, "sighting", hibiscusstate.NewRoom(8, 0, 0))
 		k.EntryUp(now, 1)
 		k.SetDrained(1, true)
 		k.SetDrained(1, true)
-		k.SetEndpoint(now, "sighting", 8)
+		k.SetEndpoint(now, "sighting", hibiscusstate.NewRoom(8, 0, 0))
 		k.Orders(now, 1, order(1))
 		k.SetDrained(1, false)
 		k.Orders(now, 1, order(2))
--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -112,17 +112,17 @@
 	longest := time.Duration(0)
 	for _, t := range s.tasks {
 		expected, _ := p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t.Kind(), t.Declared()))
-		work += expected
+		work += expected * time.Duration(t.Room().Slots())
 		longest = max(longest, expected)
 	}
 	capacity := d.capacity(p)
 	share := p.queue.TeamShare(s.team)
 	ahead := min(float64(p.queue.Work()), float64(p.queue.TeamWork(s.team))/share)
 	needed := time.Duration((aheadFactor*ahead+float64(work))/capacity) + longest
-	if needed > d.budget(s) && p.queue.Len() > 0 {
+	if needed > d.usefulTime(s, longest) && p.queue.Len() > 0 {
 		return d.refuse(s, hibiscusstate.RefusalTooLate,
-			fmt.Sprintf("the job would be done in %d ms, its deadline is in %d ms", needed.Milliseconds(), d.budget(s).Milliseconds()),
-			max(needed-d.budget(s), minRetryAfter))
+			fmt.Sprintf("the job would be done in %d ms, its deadline is in %d ms", needed.Milliseconds(), d.usefulTime(s, longest).Milliseconds()),
+			max(needed-d.usefulTime(s, longest), minRetryAfter))
 	}
 	return nil
 }
@@ -134,7 +134,7 @@
 		p.retries = min(p.retries+retryFraction, retryBurst)
 		return nil
 	}
-	if p.queue.Len() <= p.slots {
+	if p.queue.Slots() <= p.slots {
 		return nil
 	}
 	if p.retries < 1 {
--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -69,16 +69,16 @@
 // Stop ends the duty after the commands that were queued before.
 func (a *Agent) Stop() { a.duty.ring.Close() }
 
-// Announce takes an announcement of the endpoint: its service and how many tasks it runs at once. A process that stops
+// Announce takes an announcement of the endpoint: its service and its room. A process that stops
 // ignores it, because the endpoint goes on announcing itself.
-func (a *Agent) Announce(service string, slots int) error {
+func (a *Agent) Announce(service string, room hibiscusstate.Room) error {
 	return a.duty.do(func(now time.Time) {
 		if a.stopping {
 			return
 		}
 		a.announced = true
 		a.announcedAt = now
-		a.keeper.SetEndpoint(now, service, slots)
+		a.keeper.SetEndpoint(now, service, room)
 	})
 }
 
@@ -100,6 +100,11 @@
 	})
 }
 
+// StopAll stops all tasks that run; their entries may have them run elsewhere.
+func (a *Agent) StopAll() error {
+	return a.duty.do(func(time.Time) { a.keeper.StopAll() })
+}
+
 func (a *Agent) leave() {
 	a.log.Info("agent: endpoint is leaving")
 	a.announced = false
@@ -164,7 +169,7 @@
 			return
 		}
 		delete(a.entries, p.Hello().Incarnation())
-		a.keeper.EntryDown(p.Hello().Incarnation())
+		a.keeper.EntryDown(now, p.Hello().Incarnation())
 		a.members.lost(now, p.Hello().Incarnation())
 		a.log.Info("session: peer lost", "role", p.Hello().Role().String(), "address", p.Hello().Address())
 	})
@@ -227,7 +232,7 @@
 	if a.announced && now.Sub(a.announcedAt) > endpointTimeout {
 		a.log.Warn("agent: endpoint stopped announcing itself")
 		a.announced = false
-		a.keeper.SetEndpoint(now, a.keeper.service, 0)
+		a.keeper.SetEndpoint(now, a.keeper.service, hibiscusstate.Room{})
 	}
 	a.keeper.Tick(now)
 	a.members.forget(now)
--- a/hibiscuscoordination/agent_snapshot.go
+++ b/hibiscuscoordination/agent_snapshot.go
@@ -23,7 +23,7 @@
 	messages   uint64
 	records    int
 	bytes      int
-	outcomes   [hibiscusstate.OutcomeStopped + 1]uint64
+	outcomes   [hibiscusstate.OutcomeLost + 1]uint64
 	rejections [hibiscusstate.RejectionStopped + 1]uint64
 	ring       RingSnapshot
 }
@@ -33,7 +33,7 @@
 	return ask(a.duty, func(time.Time) *AgentSnapshot {
 		k := a.keeper
 		return &AgentSnapshot{
-			version: a.version(), service: k.service, slots: k.limit, running: k.Running(), waiting: k.Waiting(),
+			version: a.version(), service: k.service, slots: k.limit.Slots(), running: k.Running(), waiting: k.Waiting(),
 			leaving: k.leaving, drained: k.drained, started: k.started, duplicates: k.duplicates, leases: k.leases,
 			messages: k.messages, records: k.tasks.Len(), bytes: k.tasks.Bytes(), outcomes: k.outcomes, rejections: k.rejections,
 			ring: a.duty.snapshot(),
@@ -44,7 +44,7 @@
 // Ready says whether the agent has an endpoint that is not leaving, and a session to at least one entry.
 func (a *Agent) Ready() bool {
 	ready, err := ask(a.duty, func(time.Time) bool {
-		return a.keeper.limit > 0 && !a.keeper.leaving && len(a.entries) > 0
+		return a.keeper.limit.Slots() > 0 && !a.keeper.leaving && len(a.entries) > 0
 	})
 	return err == nil && ready
 }
--- a/hibiscuscoordination/agent_test.go
+++ b/hibiscuscoordination/agent_test.go
@@ -31,7 +31,7 @@
 			}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 			p := NewPeer(NewHello(RoleEntry, 1, "10.0.1.1:7200", "a", 0, Capacity{}), func(Message) bool { return true }, func() {})
 			// All commands are queued before the duty runs, so that it takes them in one batch.
-			ignore(a.Announce("checks", 1))
+			ignore(a.Announce("checks", hibiscusstate.NewRoom(1, 0, 0)))
 			ignore(a.PeerUp(p))
 			ignore(a.PeerMessage(p, NewOrdersMessage(orderOf(1, 0, 1))))
 			ignore(a.PeerMessage(p, NewStopMessage([]hibiscusstate.TaskTry{tryOf(1, 0)})))
--- /dev/null
+++ b/hibiscuscoordination/configuration_feed.go
@@ -0,0 +1,88 @@
+package hibiscuscoordination
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// The configuration duty of an entry whose configuration belongs to somebody else, who writes it into the table. The duty
+// reads it once and then follows the changes, one open request at a time. Each version is pushed to the other entries, so
+// that an entry that the table turns away gets it too.
+
+const (
+	// feedRetry is the time between two tries when the table does not answer. A version has to be in force 2 s after it was
+	// written, also when the table is back just then.
+	feedRetry = 250 * time.Millisecond
+	// feedMaxRetry bounds the growing pause between the tries of a long outage, because every request is paid for.
+	feedMaxRetry = time.Second
+)
+
+// FeedPosition is a place in the history of the table.
+type FeedPosition uint64
+
+// ConfigurationFeed is the configuration duty.
+type ConfigurationFeed struct {
+	entry *Entry
+	read  func(ctx context.Context) (*hibiscusstate.Configuration, FeedPosition, error)
+	next  func(ctx context.Context, after FeedPosition) (*hibiscusstate.Configuration, FeedPosition, error)
+	log   *slog.Logger
+	down  bool
+}
+
+// NewConfigurationFeed returns the duty. read returns the newest version, nil for none; next waits for a later one and may
+// return nil when there was none. Both return the place up to which they have read; next returns ErrHistoryLost when the
+// table no longer has what came after its place.
+func NewConfigurationFeed(
+	entry *Entry, read func(ctx context.Context) (*hibiscusstate.Configuration, FeedPosition, error),
+	next func(ctx context.Context, after FeedPosition) (*hibiscusstate.Configuration, FeedPosition, error), log *slog.Logger,
+) *ConfigurationFeed {
+	return &ConfigurationFeed{entry: entry, read: read, next: next, log: log}
+}
+
+// Run follows the configuration until ctx is done. The entry gets ready as with ConfigurationWatch.
+func (f *ConfigurationFeed) Run(ctx context.Context) {
+	wait := time.AfterFunc(peerWait, f.entry.releaseReady)
+	defer wait.Stop()
+	pause := feedRetry
+	for ctx.Err() == nil {
+		position, err := f.take(f.read(ctx))
+		for err == nil {
+			pause = feedRetry
+			f.entry.releaseReady()
+			position, err = f.take(f.next(ctx, position))
+		}
+		if errors.Is(err, ErrHistoryLost) {
+			f.log.Info("config: history is gone, reading the newest version")
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !f.down {
+			f.log.Warn("config: table does not answer, the version in force stays", "cause", err.Error())
+		}
+		f.down = true
+		sleep(ctx, pause)
+		pause = min(2*pause, feedMaxRetry)
+	}
+}
+
+// take puts a version in force.
+func (f *ConfigurationFeed) take(c *hibiscusstate.Configuration, position FeedPosition, err error) (FeedPosition, error) {
+	if err != nil {
+		return position, err
+	}
+	if f.down {
+		f.down = false
+		f.log.Info("config: table answers again")
+	}
+	if c == nil {
+		return position, nil
+	}
+	return position, f.entry.Configure(c)
+}
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -51,6 +51,7 @@
 	incarnation   hibiscusstate.Incarnation
 	window        *hibiscusstate.KeyWindow
 	jobs          map[hibiscusstate.SubmissionKey]*jobRecord
+	named         map[string]*jobRecord
 	finished      *list.List
 	bytes         int
 	deadlines     deadlineHeap
@@ -73,6 +74,16 @@
 	waiters []func(*Answer)
 	index   int
 	overdue bool
+	// callers are the connections that wait for a named job, and next the submissions of its name that came after its
+	// cancellation; they start when its last run has ended.
+	callers []uint64
+	next    []pendingSubmission
+}
+
+// pendingSubmission is a submission that waits for the end of an earlier job of its name.
+type pendingSubmission struct {
+	submission *Submission
+	reply      func(*Answer)
 }
 
 // pool is one service's queue and workers at this entry.
@@ -81,6 +92,9 @@
 	queue    *hibiscusstate.FairQueue
 	runTimes *hibiscusstate.RunTimes
 	heap     *hibiscusstate.WorkerHeap
+	// unit is how many slots a task of the service usually takes; a worker with fewer free ones counts as full.
+	unit     int
+	meanSlot float64
 	slots    int
 	live     int
 	usable   float64
@@ -124,6 +138,7 @@
 		incarnation: incarnation,
 		window:      hibiscusstate.NewKeyWindow(),
 		jobs:        map[hibiscusstate.SubmissionKey]*jobRecord{},
+		named:       map[string]*jobRecord{},
 		finished:    list.New(),
 		pools:       map[string]*pool{},
 		workers:     map[hibiscusstate.Incarnation]*assignment{},
@@ -236,6 +251,9 @@
 	job.AddTasks(s.tasks)
 	r := &jobRecord{job: job}
 	d.jobs[s.key] = r
+	if s.name != "" {
+		d.nameJob(r, s)
+	}
 	d.bytes += job.Bytes()
 	heap.Push(&d.deadlines, r)
 	d.counters.jobs++
@@ -252,9 +270,10 @@
 		t.SetExpected(p.runTimes.Expect(t.Kind(), len(t.Payload()), d.declared(s.service, t.Kind(), t.Declared())))
 		longest = max(longest, t.Expected())
 	}
-	job.SetDue(now.Add(dueFactor * longest))
+	d.setTimes(now, job, longest)
 	for i := range job.Len() {
 		p.queue.Push(job.Task(i))
+		p.observeSlots(job.Task(i).Room().Slots())
 	}
 	d.dispatch(now, p)
 }
@@ -264,11 +283,9 @@
 	if s.budget > 0 {
 		return s.budget
 	}
-	service, _ := d.configuration.Document().Service(s.service)
 	budget := time.Duration(0)
 	for _, t := range s.tasks {
-		kind, _ := service.Kind(t.Kind())
-		budget = max(budget, kind.Deadline())
+		budget = max(budget, d.kind(s.service, t.Kind()).Deadline())
 	}
 	if budget == 0 {
 		return defaultDeadline
@@ -281,9 +298,7 @@
 	if declared > 0 {
 		return declared
 	}
-	s, _ := d.configuration.Document().Service(service)
-	k, _ := s.Kind(kind)
-	return k.RunTime()
+	return d.kind(service, kind).RunTime()
 }
 
 // Cancel stops a job: queued tasks are not run, and agents are asked to stop the others; reply gets the final answer, or
@@ -295,11 +310,7 @@
 		return
 	}
 	if r.job.State() == hibiscusstate.JobRunning {
-		r.job.Cancel()
-		d.abandonQueued(r, "the job was cancelled before the task was started")
-		d.stopSent(now, r)
-		d.finish(now, r)
-		d.dispatch(now, d.pool(r.job.Service()))
+		d.cancelRecord(now, r)
 	}
 	d.join(r, s, reply)
 }
@@ -366,7 +377,7 @@
 // comeBack queues a task that is known not to have started, unless it is of no more use.
 func (d *Dispatcher) comeBack(now time.Time, a *assignment, t *hibiscusstate.Task, busy bool, reason string) {
 	job := t.Job()
-	if t.Refused() >= maxMoves || job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Deadline()) {
+	if t.Refused() >= maxMoves && job.Name() == "" || job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Deadline()) {
 		d.resolve(now, a, t, hibiscusstate.OutcomeNotRun, nil, reason, 0)
 		return
 	}
@@ -381,7 +392,15 @@
 		a.pool.runTimes.Observe(t.Kind(), len(t.Payload()), r.RunTime())
 	}
 	d.judge(now, a, t, r)
-	d.resolve(now, a, t, r.Outcome(), r.Output(), r.Reason(), r.RunTime())
+	if d.runAgain(now, a, t, r) {
+		return
+	}
+	outcome := r.Outcome()
+	if outcome == hibiscusstate.OutcomeFailed && t.Failures()+1 < t.Job().Attempts() {
+		// The job ends before the task has failed as often as it may, so that it can't be called failed.
+		outcome = hibiscusstate.OutcomeLost
+	}
+	d.resolve(now, a, t, outcome, r.Output(), r.Reason(), r.RunTime())
 }
 
 // release takes a task off its worker.
@@ -389,7 +408,7 @@
 	delete(a.tasks, t.ID())
 	a.worker.Remove(t)
 	if t.Long() {
-		a.pool.longs--
+		a.pool.longs -= t.Room().Slots()
 	}
 }
 
@@ -408,6 +427,9 @@
 	d.counters.countOutcome(outcome)
 	if outcome != hibiscusstate.OutcomeFinished && t.Job().Unfinished() == 1 && !t.Job().Cancelled() {
 		d.abandonQueued(r, "another task of the job did not finish")
+		if t.Job().Name() != "" {
+			d.stopSent(now, r)
+		}
 	}
 	d.finish(now, r)
 }
@@ -455,6 +477,7 @@
 		reply(answer)
 	}
 	r.waiters = nil
+	d.finishNamed(now, r)
 }
 
 // answer returns the state of a job; outcomes are told only when they are all final, so that no answer is partial.
@@ -475,7 +498,7 @@
 	if p == nil {
 		p = &pool{
 			service: service, queue: hibiscusstate.NewFairQueue(), runTimes: hibiscusstate.NewRunTimes(),
-			heap: hibiscusstate.NewWorkerHeap(), slowness: 1,
+			heap: hibiscusstate.NewWorkerHeap(), unit: 1, slowness: 1,
 		}
 		d.pools[service] = p
 	}
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -66,11 +67,15 @@
 		d.finish(now, r)
 		return
 	}
+	d.resolveRunning(now, r, "the deadline passed while a worker had the task")
+}
+
+// resolveRunning resolves the tasks that workers have as possibly run.
+func (d *Dispatcher) resolveRunning(now time.Time, r *jobRecord, reason string) {
 	for i := range r.job.Len() {
 		t := r.job.Task(i)
 		if t.Phase() != hibiscusstate.PhaseDone {
-			d.resolve(now, d.workers[t.Worker()], t, hibiscusstate.OutcomeMayHaveRun, nil,
-				"the deadline passed while a worker had the task", 0)
+			d.resolve(now, d.workers[t.Worker()], t, hibiscusstate.OutcomeMayHaveRun, nil, reason, 0)
 		}
 	}
 }
@@ -86,11 +91,11 @@
 	}
 	w.ReleaseHolds(now)
 	d.tryAgain(now, a)
-	if now.Sub(w.ReportedAt()) > max(2*a.pool.runTimes.Usual(), tickInterval) && w.Free() <= 0 && w.Others() > 0 {
+	if now.Sub(w.ReportedAt()) > max(2*a.pool.runTimes.Usual(), tickInterval) && w.Free() < a.pool.unit && w.Others() > 0 {
 		// Without this a worker that was full of other entries' tasks would look full for good, because nothing is sent
 		// to it and so no report comes back. One slot is enough to find out; halving the others' tasks on every worker
 		// instead made a fifth of the tasks bounce.
-		w.Report(max(w.Others()+w.Free()-1, 0), w.Waiting(), now)
+		w.Report(max(w.Others()+w.Free()-a.pool.unit, 0), w.Waiting(), now)
 	}
 	a.update()
 }
@@ -125,6 +130,18 @@
 // Drain makes the entry refuse new submissions; what it has goes on.
 func (d *Dispatcher) Drain() { d.draining = true }
 
+// Abandon ends all running jobs: queued tasks as not run, the others as possibly run, which the agents are asked to stop.
+func (d *Dispatcher) Abandon(now time.Time, cause string) int {
+	running := slices.Clone(d.deadlines)
+	for _, r := range running {
+		d.abandonQueued(r, cause)
+		d.stopSent(now, r)
+		d.finish(now, r)
+		d.resolveRunning(now, r, cause)
+	}
+	return len(running)
+}
+
 // Idle says whether no job is running.
 func (d *Dispatcher) Idle() bool { return len(d.deadlines) == 0 }
 
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -103,6 +103,27 @@
 	return e.duty.do(func(now time.Time) { e.route(now, s, reply) })
 }
 
+// SubmitNamed takes a submission that its client has named; reply is called once, on the duty, and must not block. caller
+// names the connection that waits, for Leave.
+func (e *Entry) SubmitNamed(s *Submission, caller uint64, reply func(*Answer)) error {
+	return e.duty.do(func(now time.Time) { e.dispatcher.SubmitNamed(now, s, caller, reply) })
+}
+
+// Leave takes the word that a connection no longer waits for a named job.
+func (e *Entry) Leave(name string, caller uint64) error {
+	return e.duty.do(func(now time.Time) { e.dispatcher.Leave(now, name, caller) })
+}
+
+// Abandon ends all running jobs for a cause and returns their number; what workers have of them is stopped.
+func (e *Entry) Abandon(cause string) (int, error) {
+	return ask(e.duty, func(now time.Time) int { return e.dispatcher.Abandon(now, cause) })
+}
+
+// RunningNamed says whether a job of that name is running at this entry.
+func (e *Entry) RunningNamed(name string) (bool, error) {
+	return ask(e.duty, func(time.Time) bool { return e.dispatcher.named[name] != nil })
+}
+
 // IssueKeys returns n fresh submission keys, or ErrStopped.
 func (e *Entry) IssueKeys(n int) ([]hibiscusstate.SubmissionKey, error) {
 	return ask(e.duty, func(time.Time) []hibiscusstate.SubmissionKey { return e.dispatcher.IssueKeys(n) })
--- a/hibiscuscoordination/errors.go
+++ b/hibiscuscoordination/errors.go
@@ -10,6 +10,10 @@
 	ErrConflict = errors.New("configuration changed since the version that the edit was based on")
 	// ErrPlatformUnavailable says that the table service did not answer.
 	ErrPlatformUnavailable = errors.New("table service is not available")
+	// ErrEndpointGone says that the endpoint is down, so that nothing runs there.
+	ErrEndpointGone = errors.New("the endpoint is down")
+	// ErrHistoryLost says that the table no longer has the changes that a reader asked for.
+	ErrHistoryLost = errors.New("the table has dropped these changes")
 	// ErrUnknownWorker says that no connected worker has the given address.
 	ErrUnknownWorker = errors.New("no connected endpoint has this address")
 	// ErrNoAnswer says that a worker's agent did not confirm a request in time; repeating the request is safe.
--- a/hibiscuscoordination/health.go
+++ b/hibiscuscoordination/health.go
@@ -47,7 +47,7 @@
 	case hibiscusstate.OutcomeFailed, hibiscusstate.OutcomeMayHaveRun:
 		a.pool.failures += (1 - a.pool.failures) * failureWeight
 		// A task that fails at once would free its slot at once and draw the next task to the broken worker.
-		w.Hold(t.SentAt().Add(t.Expected()))
+		w.Hold(t.Room().Slots(), t.SentAt().Add(t.Expected()))
 		failures := w.CountFailed()
 		if failures >= outAfterFailures || w.Health() == hibiscusstate.HealthOnTrial {
 			d.takeOut(now, a, fmt.Sprintf("%d tasks in a row failed", failures))
--- /dev/null
+++ b/hibiscuscoordination/named.go
@@ -0,0 +1,158 @@
+package hibiscuscoordination
+
+import (
+	"slices"
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// Jobs that their clients have named. A client sends such a job again, to any entry, when it got no answer, and its tasks
+// may be run again; what must not happen is that two runs of one task go on at the same time. So all tasks of a job are
+// stopped as soon as nobody waits for it any more, and within one entry a job that comes again joins the running one, or
+// waits until the last run of the cancelled one has ended. Between entries the agents see to it (SlotKeeper).
+
+// lateFactor is how many times its objective a job may take before its answer is of no use to the caller; the users credit
+// an answer up to three times the objective.
+const lateFactor = 3
+
+// slotsWeight is the weight of the newest task in the usual number of slots of a task.
+const slotsWeight = 1.0 / 32
+
+// SubmitNamed admits, joins or refuses a named submission; caller names the connection that waits, for Leave.
+func (d *Dispatcher) SubmitNamed(now time.Time, s *Submission, caller uint64, reply func(*Answer)) {
+	s.caller = caller
+	if r := d.named[s.name]; r != nil {
+		if r.job.Cancelled() {
+			r.next = append(r.next, pendingSubmission{submission: s, reply: reply})
+			return
+		}
+		r.callers = append(r.callers, caller)
+		r.waiters = append(r.waiters, reply)
+		return
+	}
+	s.key = d.IssueKeys(1)[0]
+	d.Submit(now, s, reply)
+}
+
+// Leave takes the word that a caller's connection is gone. The job is cancelled when no other caller waits for it.
+func (d *Dispatcher) Leave(now time.Time, name string, caller uint64) {
+	r := d.named[name]
+	if r == nil {
+		return
+	}
+	r.next = slices.DeleteFunc(r.next, func(p pendingSubmission) bool { return p.submission.caller == caller })
+	n := len(r.callers)
+	r.callers = slices.DeleteFunc(r.callers, func(c uint64) bool { return c == caller })
+	if len(r.callers) == n || len(r.callers) > 0 || r.job.State() != hibiscusstate.JobRunning {
+		return
+	}
+	d.cancelRecord(now, r)
+}
+
+// cancelRecord stops a running job: queued tasks are not run, and agents are asked to stop the others.
+func (d *Dispatcher) cancelRecord(now time.Time, r *jobRecord) {
+	r.job.Cancel()
+	d.abandonQueued(r, "the job was cancelled before the task was started")
+	d.stopSent(now, r)
+	d.finish(now, r)
+	d.dispatch(now, d.pool(r.job.Service()))
+}
+
+// nameJob records a job under its name.
+func (d *Dispatcher) nameJob(r *jobRecord, s *Submission) {
+	attempts := 1
+	for _, t := range s.tasks {
+		attempts = max(attempts, d.kind(s.service, t.Kind()).Attempts())
+	}
+	r.job.SetName(s.name, attempts)
+	r.callers = append(r.callers, s.caller)
+	d.named[s.name] = r
+}
+
+// finishNamed forgets a named job that is final, and starts the submission of its name that waited for that.
+func (d *Dispatcher) finishNamed(now time.Time, r *jobRecord) {
+	if r.job.Name() == "" || d.named[r.job.Name()] != r {
+		return
+	}
+	delete(d.named, r.job.Name())
+	for _, p := range r.next {
+		d.SubmitNamed(now, p.submission, p.submission.caller, p.reply)
+	}
+	r.next = nil
+}
+
+// runAgain queues a task of a named job whose run has ended without a result, and says whether it did. A run that ended with
+// its worker or its lease is no failure of the task.
+func (d *Dispatcher) runAgain(now time.Time, a *assignment, t *hibiscusstate.Task, r *hibiscusstate.Report) bool {
+	job := t.Job()
+	failed := r.Outcome() == hibiscusstate.OutcomeFailed
+	switch r.Outcome() {
+	case hibiscusstate.OutcomeFailed, hibiscusstate.OutcomeLost, hibiscusstate.OutcomeStopped:
+	case hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeNotRun, hibiscusstate.OutcomeMayHaveRun, hibiscusstate.OutcomePending:
+		return false
+	}
+	if job.Name() == "" {
+		return false
+	}
+	if job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Latest()) || failed && t.Failures()+1 >= job.Attempts() {
+		return false
+	}
+	d.release(a, t)
+	d.counters.moves++
+	t.MarkEnded(failed)
+	t.Avoid(a.worker.ID())
+	a.pool.queue.Push(t)
+	return true
+}
+
+// choose returns the worker for a task: the best one, or another one with room when the task does not fit there or ended
+// there before.
+func (d *Dispatcher) choose(p *pool, best *hibiscusstate.Worker, t *hibiscusstate.Task) *hibiscusstate.Worker {
+	if best.Free() >= t.Room().Slots() && t.Avoided() != best.ID() {
+		return best
+	}
+	if w := p.heap.Fitting(t.Room().Slots(), t.Avoided()); w != nil {
+		return w
+	}
+	return best
+}
+
+// observeSlots follows how many slots a task usually takes. The heap is ordered anew when that has changed by an eighth.
+func (p *pool) observeSlots(slots int) {
+	if p.meanSlot == 0 {
+		p.meanSlot = float64(slots)
+	}
+	p.meanSlot += (float64(slots) - p.meanSlot) * slotsWeight
+	if unit := int(p.meanSlot); unit > p.unit+p.unit/8 || unit < p.unit-p.unit/8 {
+		p.unit = max(unit, 1)
+		p.heap.SetUnit(p.unit)
+	}
+}
+
+// setTimes sets when a job is due and from when on its answer is of no use.
+func (d *Dispatcher) setTimes(now time.Time, job *hibiscusstate.Job, longest time.Duration) {
+	objective := d.kind(job.Service(), job.Task(0).Kind()).Objective(longest)
+	if objective == 0 {
+		job.SetDue(now.Add(dueFactor * longest))
+		return
+	}
+	job.SetDue(now.Add(objective))
+	job.SetLatest(now.Add(lateFactor * objective))
+}
+
+// usefulTime returns how long an answer to a submission whose longest task takes so long is of use to its caller.
+func (d *Dispatcher) usefulTime(s *Submission, longest time.Duration) time.Duration {
+	objective := d.kind(s.service, s.tasks[0].Kind()).Objective(longest)
+	if objective == 0 {
+		return d.budget(s)
+	}
+	return min(lateFactor*objective, d.budget(s))
+}
+
+// kind returns a kind of the configuration in force, without attempts and objective when there is none of the name.
+func (d *Dispatcher) kind(service, name string) hibiscusstate.Kind {
+	s, _ := d.configuration.Document().Service(service)
+	k, _ := s.Kind(name)
+	return k
+}
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -36,8 +36,8 @@
 			return
 		}
 		wait := time.Duration(0)
-		if w.Free() <= 0 {
-			if -w.Free() >= d.waitPlaces() || p.queue.Len() < p.slots/len(d.entries) {
+		if w.Free() < p.unit {
+			if p.unit-1-w.Free() >= d.waitPlaces()*p.unit || p.queue.Slots() < p.slots/len(d.entries) {
 				// A short queue is served sooner by the next free slot anywhere than by one agent's.
 				return
 			}
@@ -47,11 +47,17 @@
 		if t == nil {
 			return
 		}
-		if p.queue.Len() > 0 && now.Add(t.Expected()).After(t.Job().Deadline()) {
+		if p.queue.Len() > 0 && now.Add(t.Expected()).After(t.Job().Latest()) {
 			d.giveUp(now, t)
 			continue
 		}
 		if wait == 0 {
+			w = d.choose(p, w, t)
+			if w.Free() < t.Room().Slots() {
+				// The task is larger than usual and fits nowhere at present.
+				p.queue.Push(t)
+				return
+			}
 			wait = min(t.Expected()/staleWaitPart, agentWaitLimit)
 			if w.Waiting() > 0 {
 				wait = max(2*p.runTimes.Usual(), agentWaitLimit)
@@ -83,13 +89,13 @@
 		d.dirty = append(d.dirty, a)
 	}
 	order := hibiscusstate.NewOrder(t.Try(), job.Len(), job.Digest(), t.Kind(), t.Payload()).
-		WithBudget(job.Deadline().Sub(now)).WithLease(a.worker.Lease()).WithWait(wait)
+		WithBudget(job.Deadline().Sub(now)).WithLease(a.worker.Lease()).WithWait(wait).WithRoom(t.Room()).WithJobName(job.Name())
 	a.orders = append(a.orders, order)
 	a.tasks[t.ID()] = t
 	t.MarkSent(a.worker.ID(), now)
 	a.worker.Add(t)
 	if t.Long() {
-		a.pool.longs++
+		a.pool.longs += t.Room().Slots()
 	}
 	a.update()
 }
--- a/hibiscuscoordination/slot_keeper.go
+++ b/hibiscuscoordination/slot_keeper.go
@@ -7,9 +7,10 @@
 	"hibiscusrouter/hibiscusstate"
 )
 
-// The SlotKeeper holds every decision of an agent. It is the one authority for the slots of its endpoint: entries place
+// The SlotKeeper holds every decision of an agent. It is the one authority for the room of its endpoint: entries place
 // tasks by views that may be late, and the keeper starts, holds or rejects each of them. A rejection always means that the
-// task was not run, because nothing is rejected after it was handed to a runner.
+// task was not run, because nothing is rejected after it was handed to a runner. A task takes its room from its start until
+// its runner has reported the end, so that what is being stopped still counts.
 
 const (
 	// leaseTime is how long an entry may be silent before orders that it sent earlier are rejected.
@@ -22,6 +23,9 @@
 	// clientRetention is how long an entry without session and tasks is remembered; it is longer than any entry needs to
 	// open a session again.
 	clientRetention = time.Minute
+	// orphanLimit is how long tasks that may be run again go on without a session to their entry. A client whose connection
+	// broke sends its job again 1.3 s later; the lost session is noticed after at most 0.9 s, and a stop takes 50 ms.
+	orphanLimit = 300 * time.Millisecond
 )
 
 // SlotKeeper decides for one agent.
@@ -29,7 +33,8 @@
 	incarnation hibiscusstate.Incarnation
 	service     string
 	slots       []*hibiscusstate.AgentTask
-	limit       int
+	limit       hibiscusstate.Room
+	used        hibiscusstate.Room
 	waiting     []*hibiscusstate.AgentTask
 	tasks       *hibiscusstate.AgentTasks
 	entries     map[hibiscusstate.Incarnation]*client
@@ -47,7 +52,7 @@
 	duplicates  uint64
 	leases      uint64
 	messages    uint64
-	outcomes    [hibiscusstate.OutcomeStopped + 1]uint64
+	outcomes    [hibiscusstate.OutcomeLost + 1]uint64
 	rejections  [hibiscusstate.RejectionStopped + 1]uint64
 }
 
@@ -59,6 +64,10 @@
 	// acknowledged says that the entry has sent no order after it learned that the endpoint is leaving.
 	acknowledged bool
 	tasks        int
+	// slots is how many slots the tasks of the entry take, running and waiting.
+	slots    int
+	lostAt   time.Time
+	orphaned bool
 }
 
 // watcher is an entry that recovers a job and waits for the tasks that still run.
@@ -128,20 +137,17 @@
 
 // Capacity returns what the endpoint offers to an entry.
 func (k *SlotKeeper) Capacity(entry hibiscusstate.Incarnation) Capacity {
-	return NewCapacity(k.service, k.limit, k.leaving, k.client(entry).lease).WithDrained(k.drained)
+	return NewCapacity(k.service, k.limit.Slots(), k.leaving, k.client(entry).lease).WithDrained(k.drained)
 }
 
-// SetEndpoint takes an announcement: the service of the endpoint and its slots, zero when it is gone.
-func (k *SlotKeeper) SetEndpoint(now time.Time, service string, slots int) {
-	if service == k.service && slots == k.limit && !k.leaving {
+// SetEndpoint takes an announcement: the service of the endpoint and its room, zero when it is gone.
+func (k *SlotKeeper) SetEndpoint(now time.Time, service string, room hibiscusstate.Room) {
+	if service == k.service && room == k.limit && !k.leaving {
 		return
 	}
 	k.service = service
-	k.limit = slots
+	k.limit = room
 	k.leaving = false
-	for len(k.slots) < slots {
-		k.slots = append(k.slots, nil)
-	}
 	k.announce()
 	k.startWaiting(now)
 }
@@ -182,7 +188,7 @@
 
 // mustStay says whether a waiting task is one that was sealed for a recovery: it runs here or nowhere.
 func (k *SlotKeeper) mustStay(t *hibiscusstate.AgentTask) bool {
-	return k.limit > 0 && k.sealed.Has(t.Order().ID().Key())
+	return k.limit.Slots() > 0 && k.sealed.Has(t.Order().ID().Key())
 }
 
 // SetDrained takes an operator's word that the worker is to be out, or back; the entry that passed it on gets an answer
@@ -213,8 +219,9 @@
 }
 
 // EntryDown takes the loss of an entry's session; its tasks go on.
-func (k *SlotKeeper) EntryDown(entry hibiscusstate.Incarnation) {
+func (k *SlotKeeper) EntryDown(now time.Time, entry hibiscusstate.Incarnation) {
 	k.client(entry).connected = false
+	k.client(entry).lostAt = now
 }
 
 // Hear renews the lease of an entry; after a silence past the lease it raises the epoch first, so that orders that were sent
@@ -243,7 +250,13 @@
 
 // take starts an order or lets it wait, and otherwise says why not.
 func (k *SlotKeeper) take(now time.Time, entry hibiscusstate.Incarnation, order hibiscusstate.Order) hibiscusstate.Rejection {
-	if known := k.tasks.Get(order.ID()); known != nil {
+	known := k.tasks.Get(order.ID())
+	if known != nil && order.Restartable() && known.Status() == hibiscusstate.StatusDone && known.Order().Try().Number() < order.Try().Number() {
+		// The entry knows the end of the earlier try and starts the task again.
+		k.tasks.Drop(known)
+		known = nil
+	}
+	if known != nil {
 		// The task was taken under another try. Whatever the entry believes, it must not start again, and calling it not
 		// run would make the entry place it elsewhere.
 		k.duplicates++
@@ -258,18 +271,19 @@
 		return hibiscusstate.RejectionLeaseExpired
 	case k.leaving, k.drained:
 		return hibiscusstate.RejectionLeaving
-	case k.limit == 0:
+	case k.limit.Slots() == 0:
 		return hibiscusstate.RejectionEndpointDown
 	case order.Budget() <= 0:
 		return hibiscusstate.RejectionExpired
 	}
 	t := hibiscusstate.NewAgentTask(order, entry, now)
-	if slot := k.freeSlot(); slot >= 0 && len(k.waiting) == 0 {
+	conflict := k.stopFormerRun(t)
+	if len(k.waiting) == 0 && !conflict && k.fits(t) {
 		k.add(t)
-		k.start(now, t, slot)
+		k.start(now, t)
 		return hibiscusstate.RejectionNone
 	}
-	if !order.MayWait() || len(k.waiting) >= agentWaitPlaces {
+	if !conflict && (!order.MayWait() || len(k.waiting) >= agentWaitPlaces) {
 		return hibiscusstate.RejectionNoFreeSlot
 	}
 	k.add(t)
@@ -277,25 +291,69 @@
 	return hibiscusstate.RejectionNone
 }
 
+// stopFormerRun stops the run of a task that its client submitted again through another entry, and says whether there is
+// one. The new order waits for its end, because one task must not run twice at the same time.
+func (k *SlotKeeper) stopFormerRun(t *hibiscusstate.AgentTask) bool {
+	former := k.sameTask(t)
+	if former == nil {
+		return false
+	}
+	if former.Status() == hibiscusstate.StatusWaiting {
+		k.returnWaiting(former, hibiscusstate.RejectionStopped)
+		return k.sameTask(t) != nil
+	}
+	k.stop(former.Slot(), former.Order().Try())
+	return true
+}
+
+// sameTask returns the running or waiting record of the task that t is, under another key; nil for none.
+func (k *SlotKeeper) sameTask(t *hibiscusstate.AgentTask) *hibiscusstate.AgentTask {
+	name, index := t.Order().JobName(), t.Order().ID().Index()
+	if name == "" {
+		return nil
+	}
+	for _, list := range [][]*hibiscusstate.AgentTask{k.slots, k.waiting} {
+		for _, other := range list {
+			if other != nil && other != t && other.Order().JobName() == name && other.Order().ID().Index() == index {
+				return other
+			}
+		}
+	}
+	return nil
+}
+
 func (k *SlotKeeper) add(t *hibiscusstate.AgentTask) {
 	k.tasks.Add(t)
 	k.client(t.Entry()).tasks++
+	k.client(t.Entry()).slots += t.Order().Room().Slots()
 }
 
+// leave takes a task that no longer runs or waits out of its entry's counts.
+func (k *SlotKeeper) leave(t *hibiscusstate.AgentTask) {
+	k.client(t.Entry()).tasks--
+	k.client(t.Entry()).slots -= t.Order().Room().Slots()
+}
+
+// fits says whether the endpoint has room for a task.
+func (k *SlotKeeper) fits(t *hibiscusstate.AgentTask) bool {
+	return k.used.Add(t.Order().Room()).Within(k.limit)
+}
+
+// freeSlot returns the lowest index of k.slots that no task has; each index has a runner.
 func (k *SlotKeeper) freeSlot() int {
-	if k.Running() >= k.limit {
-		return -1
-	}
 	for i, t := range k.slots {
 		if t == nil {
 			return i
 		}
 	}
-	return -1
+	k.slots = append(k.slots, nil)
+	return len(k.slots) - 1
 }
 
-func (k *SlotKeeper) start(now time.Time, t *hibiscusstate.AgentTask, slot int) {
+func (k *SlotKeeper) start(now time.Time, t *hibiscusstate.AgentTask) {
+	slot := k.freeSlot()
 	k.slots[slot] = t
+	k.used = k.used.Add(t.Order().Room())
 	t.Start(slot, now)
 	k.started++
 	left := t.Order().Budget() - now.Sub(t.TakenAt())
@@ -306,7 +364,8 @@
 func (k *SlotKeeper) Finished(now time.Time, slot int, result RunResult) {
 	t := k.slots[slot]
 	k.slots[slot] = nil
-	k.client(t.Entry()).tasks--
+	k.used = k.used.Sub(t.Order().Room())
+	k.leave(t)
 	if result.rejection != hibiscusstate.RejectionNone {
 		k.tasks.Drop(t)
 		k.reject(t.Entry(), t.Order().Try(), result.rejection)
@@ -324,14 +383,17 @@
 }
 
 func (k *SlotKeeper) startWaiting(now time.Time) {
-	for len(k.waiting) > 0 {
-		slot := k.freeSlot()
-		if slot < 0 {
+	for i := 0; i < len(k.waiting); {
+		t := k.waiting[i]
+		if !k.fits(t) {
 			return
 		}
-		t := k.waiting[0]
-		k.waiting = k.waiting[1:]
-		k.start(now, t, slot)
+		if k.sameTask(t) != nil {
+			i++
+			continue
+		}
+		k.waiting = slices.Delete(k.waiting, i, i+1)
+		k.start(now, t)
 	}
 }
 
@@ -353,6 +415,19 @@
 	k.flush()
 }
 
+// StopAll gives up every task.
+func (k *SlotKeeper) StopAll() {
+	var tries []hibiscusstate.TaskTry
+	for _, list := range [][]*hibiscusstate.AgentTask{k.waiting, k.slots} {
+		for _, t := range list {
+			if t != nil {
+				tries = append(tries, t.Order().Try())
+			}
+		}
+	}
+	k.Stop(tries)
+}
+
 // returnWaiting gives a waiting task back to its entry.
 func (k *SlotKeeper) returnWaiting(t *hibiscusstate.AgentTask, rejection hibiscusstate.Rejection) {
 	for i, other := range k.waiting {
@@ -361,7 +436,7 @@
 			break
 		}
 	}
-	k.client(t.Entry()).tasks--
+	k.leave(t)
 	k.tasks.Drop(t)
 	k.reject(t.Entry(), t.Order().Try(), rejection)
 	k.tellWatchers(t.Order().ID().Key())
@@ -426,6 +501,7 @@
 		}
 		k.returnWaiting(t, hibiscusstate.RejectionWaitedOut)
 	}
+	k.stopOrphans(now)
 	k.tasks.Evict(now)
 	k.flush()
 	for entry, c := range k.entries {
@@ -437,9 +513,32 @@
 	}
 }
 
+// stopOrphans stops the tasks that may be run again and whose entry has had no session for too long: their client may send
+// the job to another entry, which knows nothing of these runs.
+func (k *SlotKeeper) stopOrphans(now time.Time) {
+	for _, c := range k.entries {
+		c.orphaned = !c.connected && c.tasks > 0 && now.Sub(c.lostAt) >= orphanLimit
+	}
+	for _, t := range slices.Clone(k.waiting) {
+		if t.Order().Restartable() && k.client(t.Entry()).orphaned {
+			k.returnWaiting(t, hibiscusstate.RejectionStopped)
+		}
+	}
+	for slot, t := range k.slots {
+		if t != nil && t.Order().Restartable() && k.client(t.Entry()).orphaned {
+			k.stop(slot, t.Order().Try())
+		}
+	}
+}
+
 // NextTick returns when Tick has something to do.
 func (k *SlotKeeper) NextTick(now time.Time) time.Time {
 	next := now.Add(time.Second)
+	for _, c := range k.entries {
+		if due := c.lostAt.Add(orphanLimit); !c.connected && c.tasks > 0 && due.After(now) && due.Before(next) {
+			next = due
+		}
+	}
 	for _, t := range k.waiting {
 		due := t.TakenAt().Add(t.Order().WaitLimit())
 		if due.Before(next) && !k.mustStay(t) {
@@ -460,11 +559,14 @@
 
 // flush sends the collected reports, with the load as it is after all of them.
 func (k *SlotKeeper) flush() {
-	total := k.Running() + len(k.waiting)
+	total := 0
+	for _, c := range k.entries {
+		total += c.slots
+	}
 	for entry, reports := range k.outbox {
 		c := k.client(entry)
 		for i := range reports {
-			reports[i] = reports[i].WithLoad(total-c.tasks, len(k.waiting), c.lease)
+			reports[i] = reports[i].WithLoad(total-c.slots, len(k.waiting), c.lease)
 		}
 		k.send(entry, NewReportsMessage(reports))
 		delete(k.outbox, entry)
--- a/hibiscuscoordination/slot_keeper_test.go
+++ b/hibiscuscoordination/slot_keeper_test.go
@@ -87,7 +87,7 @@
 func TestSlotKeeperRejections(t *testing.T) {
 	s := newKeeperSession()
 	s.step(0, "an endpoint with one slot announces itself, entry 1 connects", func() {
-		s.SetEndpoint(s.now, "checks", 1)
+		s.SetEndpoint(s.now, "checks", hibiscusstate.NewRoom(1, 0, 0))
 		s.EntryUp(s.now, 1)
 	})
 	s.step(0, "entry 1 settles a try that never arrived, then its order arrives after all", func() {
@@ -144,11 +144,11 @@
 		s.say("  acknowledged by all: %t", s.Acknowledged())
 	})
 	s.step(0, "the endpoint is gone", func() {
-		s.SetEndpoint(s.now, "checks", 0)
+		s.SetEndpoint(s.now, "checks", hibiscusstate.NewRoom(0, 0, 0))
 		s.Orders(s.now, 1, orderOf(11, 0, 2))
 	})
 	s.step(2*time.Minute, "entry 1 has stayed away for two minutes and comes back: its epoch is a new one", func() {
-		s.EntryDown(1)
+		s.EntryDown(s.now, 1)
 		s.Finished(s.now, 0, NewRunResult(hibiscusstate.OutcomeFinished, nil, ""))
 		s.Tick(s.now)
 		s.say("  entries known: %d", len(s.entries))
--- a/hibiscuscoordination/submission.go
+++ b/hibiscuscoordination/submission.go
@@ -20,6 +20,8 @@
 	cancel   bool
 	fetch    bool
 	waitTime time.Duration
+	name     string
+	caller   uint64
 }
 
 // NewSubmission returns a submission of tasks to a service; digest is that of the submitted body.
@@ -27,6 +29,15 @@
 	return &Submission{key: key, digest: digest, team: team, service: service, tasks: tasks, attempt: 1}
 }
 
+// NewNamedSubmission returns a submission that its client has named. The name stays the same when the client sends the job
+// again to any entry, and the tasks may be run again: the entry that gets the submission issues the key itself.
+func NewNamedSubmission(name string, team, service string, tasks []hibiscusstate.TaskSpec) *Submission {
+	return &Submission{name: name, team: team, service: service, tasks: tasks, attempt: 1}
+}
+
+// Name returns the name that the client gave to the job, empty for none.
+func (s *Submission) Name() string { return s.name }
+
 // NewFetch returns a question for the answer of an earlier submission.
 func NewFetch(key hibiscusstate.SubmissionKey) *Submission { return &Submission{key: key, fetch: true} }
 
--- a/hibiscusmeasure/fleet.go
+++ b/hibiscusmeasure/fleet.go
@@ -125,7 +125,7 @@
 	}
 	f.byID[a.id] = n
 	f.agents = append(f.agents, a)
-	a.keeper.SetEndpoint(f.trial.clock.now, f.trial.deployment.service, slotsPerWorker)
+	a.keeper.SetEndpoint(f.trial.clock.now, f.trial.deployment.service, hibiscusstate.NewRoom(slotsPerWorker, 0, 0))
 }
 
 // connect opens the session between an entry and an agent and keeps it alive.
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -24,6 +24,7 @@
 	api      *hibiscusprotocol.EndpointAPI
 	network  hibiscustransport.Network
 	log      *slog.Logger
+	adapter  *AgentAdapter
 }
 
 // NewAgent returns an agent process that has not started; its incarnation must be new and random.
@@ -35,12 +36,22 @@
 	identity := hibiscuscoordination.NewIdentity(incarnation, settings.EndpointAddress(), settings.FailureDomain())
 	client := hibiscustransport.NewHTTPClient(network, endpointConnections)
 	a.api = hibiscusprotocol.NewEndpointAPI(client,
-		func(service string, slots int) error { return a.duty.Announce(service, slots) },
+		func(service string, room hibiscusstate.Room) error { return a.duty.Announce(service, room) },
 		func() error { return a.duty.Leave() })
-	a.duty = hibiscuscoordination.NewAgent(identity, a.api.Execute, log)
+	a.duty = hibiscuscoordination.NewAgent(identity, a.execute, log)
 	return a
 }
 
+// Duty returns the slots duty of the process.
+func (a *Agent) Duty() *hibiscuscoordination.Agent { return a.duty }
+
+func (a *Agent) execute(ctx context.Context, order hibiscusstate.Order) hibiscuscoordination.RunResult {
+	if a.adapter != nil {
+		return a.adapter.execute(ctx, order)
+	}
+	return a.api.Execute(ctx, order)
+}
+
 // Run serves until ctx is done, then stops gracefully: it takes no new work, finishes what it has and reports it.
 func (a *Agent) Run(ctx context.Context) error {
 	l, err := a.network.Listen(a.settings.EndpointAddress())
@@ -53,16 +64,29 @@
 	connector := hibiscustransport.NewConnector(a.network, a.settings.Secret(), hibiscustransport.NewSessionHandlers(
 		a.duty.Hello, a.duty.PeerUp, a.duty.PeerMessage, a.duty.PeerDown), a.log)
 	r := chi.NewRouter()
-	a.api.Mount(r)
+	if a.adapter == nil {
+		a.api.Mount(r)
+	} else {
+		a.adapter.mount(r)
+	}
 	auth := hibiscusprotocol.NewAdminAuth(a.settings.ViewerToken(), "")
-	hibiscusprotocol.NewAgentMetrics(a.duty, connector.Counters).MountAgent(r, auth, a.duty.Ready)
+	metrics := hibiscusprotocol.NewAgentMetrics(a.duty, connector.Counters)
+	metrics.MountAgent(r, auth, a.duty.Ready)
 	var duties, links sync.WaitGroup
 	var httpErr error
 	duties.Go(a.duty.Run)
 	links.Go(func() { connector.Reconcile(serving, a.wantedEntries) })
-	if a.settings.PlatformAddress() != "" {
+	adapting := startDuties(nil)
+	switch {
+	case a.adapter != nil:
+		adapting = startDuties(a.adapter.duties)
+		duties.Go(func() { a.adapter.membership(serving) })
+	case a.settings.PlatformAddress() != "":
 		duties.Go(func() { a.runMembership(serving) })
 	}
+	if err := a.serveMetrics(serving, &duties, metrics); err != nil {
+		a.log.Error("agent: can't serve metrics", "cause", err.Error())
+	}
 	duties.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, l, r, httpGrace) })
 
 	<-ctx.Done()
@@ -70,6 +94,7 @@
 	stopServing()
 	links.Wait()
 	a.duty.Stop()
+	adapting.stop()
 	duties.Wait()
 	a.log.Info("agent: stopped")
 	return httpErr
@@ -79,11 +104,38 @@
 	if a.duty.Drain() != nil {
 		return
 	}
+	began, stopped := time.Now(), false
 	for !a.duty.Drained() {
+		if limit := a.settings.StopTime(); limit > 0 && !stopped && time.Since(began) > limit {
+			stopped = true
+			a.log.Warn("agent: stop takes too long, running tasks are stopped")
+			if a.duty.StopAll() != nil {
+				return
+			}
+		}
 		time.Sleep(drainPoll)
 	}
 }
 
+func (a *Agent) serveMetrics(ctx context.Context, duties *sync.WaitGroup, metrics *hibiscusprotocol.Metrics) error {
+	address := a.settings.MetricsAddress()
+	if address == "" {
+		return nil
+	}
+	l, err := a.network.Listen(address)
+	if err != nil {
+		return err
+	}
+	r := chi.NewRouter()
+	metrics.MountOpen(r)
+	duties.Go(func() {
+		if err := hibiscustransport.ServeHTTP(ctx, l, r, httpGrace); err != nil {
+			a.log.Warn("agent: metrics server ended", "cause", err.Error())
+		}
+	})
+	return nil
+}
+
 // wantedEntries returns the addresses of all entries that the agent has heard of.
 func (a *Agent) wantedEntries() []string {
 	addresses := map[string]bool{}
--- a/hibiscusprocess/endpoint_test.go
+++ b/hibiscusprocess/endpoint_test.go
@@ -33,7 +33,7 @@
 			func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, `{"output": "done"}`) })}
 		d.duties.Go(func() { d.note("endpoint: %v", server.Serve(l)) })
 		client := hibiscustransport.NewHTTPClient(d.tcp(), 8)
-		api := hibiscusprotocol.NewEndpointAPI(client, func(string, int) error { return nil }, nil)
+		api := hibiscusprotocol.NewEndpointAPI(client, func(string, hibiscusstate.Room) error { return nil }, nil)
 		announce(api, `{"service":"sighting","address":"10.0.2.1:7400","slots":8}`)
 		order := hibiscusstate.NewOrder(hibiscusstate.TaskTry{}, 1, 0, "check", nil).WithBudget(time.Minute)
 		for i := range tasks {
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -39,6 +39,23 @@
 	table    func() hibiscuscoordination.TableCounters
 	// droppedEntries counts audit entries that were not written.
 	droppedEntries func() uint64
+	adapter        *EntryAdapter
+	adapting       *adapterDuties
+}
+
+// EntryAdapter puts another protocol for callers, and another table service, in the place of the product's own.
+type EntryAdapter struct {
+	callers  http.Handler
+	duties   []func(ctx context.Context)
+	counters func() hibiscuscoordination.TableCounters
+}
+
+// NewEntryAdapter returns an adapter: callers serves them, duties run until the process has drained, and counters returns the
+// totals of the table client.
+func NewEntryAdapter(
+	callers http.Handler, duties []func(ctx context.Context), counters func() hibiscuscoordination.TableCounters,
+) *EntryAdapter {
+	return &EntryAdapter{callers: callers, duties: duties, counters: counters}
 }
 
 // NewEntry returns an entry process that has not started; its incarnation must be new and random.
@@ -66,6 +83,18 @@
 	return e
 }
 
+// UseAdapter makes the process serve callers and use a table service in another protocol; it must be called before Run, and
+// the settings must then name no platform_address of the product's own table service.
+func (e *Entry) UseAdapter(a *EntryAdapter) {
+	e.adapter = a
+	e.platform = nil
+	e.table = a.counters
+	e.droppedEntries = func() uint64 { return 0 }
+}
+
+// Draining says whether the process is stopping.
+func (e *Entry) Draining() bool { return e.stopping.Load() }
+
 // Duty returns the dispatch duty of the process.
 func (e *Entry) Duty() *hibiscuscoordination.Entry { return e.duty }
 
@@ -99,7 +128,12 @@
 	duties.Go(e.duty.Run)
 	links.Go(func() { connector.Accept(linked, sessions) })
 	links.Go(func() { connector.Reconcile(linked, e.wantedPeers) })
-	callersServed.Go(func() { httpErr = hibiscustransport.ServeHTTP(serving, callers, e.router(connector), httpGrace) })
+	callersServed.Go(func() {
+		httpErr = hibiscustransport.ServeHTTP(serving, callers, e.callersHandler(connector), httpGrace)
+	})
+	if err := e.serveBeside(serving, &callersServed, connector); err != nil {
+		e.log.Error("entry: can't serve readiness and metrics", "cause", err.Error())
+	}
 
 	<-ctx.Done()
 	e.drain()
@@ -116,13 +150,28 @@
 
 // drain leaves the balancer and finishes what was admitted.
 func (e *Entry) drain() {
+	began := time.Now()
 	e.beginDrain("the process was asked to stop")
 	<-e.left
 	for !e.duty.Idle() {
+		if limit := e.settings.StopTime(); limit > 0 && time.Since(began) > limit {
+			e.abandon()
+			return
+		}
 		time.Sleep(drainPoll)
 	}
 }
 
+// abandon ends what is still running when the time for a planned stop is over, so that callers get an answer.
+func (e *Entry) abandon() {
+	n, err := e.duty.Abandon("the process is stopping and could not finish the job")
+	if err != nil {
+		e.log.Warn("entry: jobs not ended", "cause", err.Error())
+		return
+	}
+	e.log.Warn("entry: stop takes too long, running jobs are ended", "jobs", n)
+}
+
 // beginDrain lowers readiness at once, so that the balancer sends no more callers, and refuses new jobs after the drain time.
 // A drain that an operator began before is not begun again.
 func (e *Entry) beginDrain(cause string) {
@@ -150,12 +199,18 @@
 	auth := hibiscusprotocol.NewAdminAuth(e.settings.ViewerToken(), e.settings.OperatorToken())
 	drain := func(who, from string) { e.beginDrain("asked by " + who + " from " + from) }
 	hibiscusprotocol.NewAdminAPI(auth, e.duty, e.ready, drain).Mount(r)
-	hibiscusprotocol.NewEntryMetrics(e.duty, hibiscusprotocol.NewEntryMetricsSeams(
-		connector.Counters, e.table, callers.Refused, e.droppedEntries, e.bus.Dropped)).MountEntry(r, auth)
+	e.metrics(connector, callers.Refused).MountEntry(r, auth)
 	e.configurationAPI(auth).Mount(r)
 	return r
 }
 
+func (e *Entry) metrics(
+	connector *hibiscustransport.Connector, refused func(hibiscusstate.Refusal) uint64,
+) *hibiscusprotocol.Metrics {
+	return hibiscusprotocol.NewEntryMetrics(e.duty, hibiscusprotocol.NewEntryMetricsSeams(
+		connector.Counters, e.table, refused, e.droppedEntries, e.bus.Dropped))
+}
+
 // endConnections makes callers open their next connection elsewhere while the entry stops, so that few connections are
 // open when the server closes them: a request that crosses with the close gets no answer.
 func (e *Entry) endConnections(next http.Handler) http.Handler {
--- a/hibiscusprocess/platform.go
+++ b/hibiscusprocess/platform.go
@@ -108,7 +108,7 @@
 
 func (e *Entry) startPlatform() error {
 	if e.platform == nil {
-		return nil
+		return e.startAdapter()
 	}
 	return e.platform.start(e.bus)
 }
@@ -120,6 +120,7 @@
 	if e.platform != nil {
 		e.platform.stop()
 	}
+	e.stopAdapter()
 }
 
 func (e *Entry) configurationAPI(auth *hibiscusprotocol.AdminAuth) *hibiscusprotocol.ConfigurationAPI {
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -191,12 +191,19 @@
 	return hibiscuswire.Tries_builder{Tries: out}.Build()
 }
 
+func roomOut(r hibiscusstate.Room) *hibiscuswire.Room {
+	return hibiscuswire.Room_builder{
+		Slots: int32(r.Slots()), Memory: int32(r.Memory()), Accelerators: int32(r.Accelerators()),
+	}.Build()
+}
+
 func ordersOut(orders []hibiscusstate.Order) *hibiscuswire.Orders {
 	out := make([]*hibiscuswire.Order, len(orders))
 	for i, o := range orders {
 		out[i] = hibiscuswire.Order_builder{
 			Try: tryOut(o.Try()), Count: int32(o.Count()), Digest: o.Digest(), Kind: o.Kind(), Payload: o.Payload(),
 			BudgetUs: o.Budget().Microseconds(), Lease: o.Lease(), WaitLimitUs: o.WaitLimit().Microseconds(),
+			Room: roomOut(o.Room()), JobName: o.JobName(),
 		}.Build()
 	}
 	return hibiscuswire.Orders_builder{Orders: out}.Build()
@@ -218,7 +225,7 @@
 	tasks := make([]*hibiscuswire.Task, len(s.Tasks()))
 	for i, t := range s.Tasks() {
 		tasks[i] = hibiscuswire.Task_builder{
-			Kind: t.Kind(), Payload: t.Payload(), DeclaredUs: t.Declared().Microseconds(),
+			Kind: t.Kind(), Payload: t.Payload(), DeclaredUs: t.Declared().Microseconds(), Room: roomOut(t.Room()),
 		}.Build()
 	}
 	return hibiscuswire.Forward_builder{
@@ -327,11 +334,18 @@
 		WithDrained(c.GetDrained())
 }
 
+// room reads an amount; a task takes at least one slot.
+func (in *frameReader) room(r *hibiscuswire.Room) hibiscusstate.Room {
+	return hibiscusstate.NewRoom(max(in.count("slots", r.GetSlots()), 1), in.count("memory", r.GetMemory()),
+		in.count("accelerators", r.GetAccelerators()))
+}
+
 func (in *frameReader) orders(orders []*hibiscuswire.Order) []hibiscusstate.Order {
 	out := make([]hibiscusstate.Order, len(orders))
 	for i, o := range orders {
 		out[i] = hibiscusstate.NewOrder(in.try(o.GetTry()), in.count("task count", o.GetCount()), o.GetDigest(), o.GetKind(), o.GetPayload()).
-			WithBudget(microseconds(o.GetBudgetUs())).WithLease(o.GetLease()).WithWait(microseconds(o.GetWaitLimitUs()))
+			WithBudget(microseconds(o.GetBudgetUs())).WithLease(o.GetLease()).WithWait(microseconds(o.GetWaitLimitUs())).
+			WithRoom(in.room(o.GetRoom())).WithJobName(o.GetJobName())
 	}
 	return out
 }
@@ -353,7 +367,7 @@
 	case hibiscusstate.StatusRejected:
 		return hibiscusstate.NewRejection(try, enum(in, "rejection", r.GetRejection(), hibiscusstate.RejectionStopped))
 	case hibiscusstate.StatusDone:
-		outcome := enum(in, "outcome", r.GetOutcome(), hibiscusstate.OutcomeStopped)
+		outcome := enum(in, "outcome", r.GetOutcome(), hibiscusstate.OutcomeLost)
 		return hibiscusstate.NewResult(try, outcome, r.GetOutput(), r.GetReason(), microseconds(r.GetRunTimeUs()))
 	case hibiscusstate.StatusNeverReceived, hibiscusstate.StatusWaiting, hibiscusstate.StatusRunning:
 		return hibiscusstate.NewStatusReport(try, status)
@@ -371,7 +385,7 @@
 	}
 	tasks := make([]hibiscusstate.TaskSpec, len(f.GetTasks()))
 	for i, t := range f.GetTasks() {
-		tasks[i] = hibiscusstate.NewTaskSpec(t.GetKind(), t.GetPayload(), microseconds(t.GetDeclaredUs()))
+		tasks[i] = hibiscusstate.NewTaskSpec(t.GetKind(), t.GetPayload(), microseconds(t.GetDeclaredUs())).WithRoom(in.room(t.GetRoom()))
 	}
 	return hibiscuscoordination.NewSubmission(key, f.GetDigest(), f.GetTeam(), f.GetService(), tasks).
 		WithBudget(microseconds(f.GetBudgetUs())).WithAttempt(in.count("attempt", f.GetAttempt())).
@@ -387,7 +401,7 @@
 	} else {
 		tasks := make([]hibiscuscoordination.TaskAnswer, len(f.GetTasks()))
 		for i, t := range f.GetTasks() {
-			outcome := enum(in, "outcome", t.GetOutcome(), hibiscusstate.OutcomeStopped)
+			outcome := enum(in, "outcome", t.GetOutcome(), hibiscusstate.OutcomeLost)
 			tasks[i] = hibiscuscoordination.NewTaskAnswer(outcome, t.GetOutput(), t.GetReason())
 		}
 		a = hibiscuscoordination.NewJobAnswer(key, enum(in, "job state", f.GetState(), hibiscusstate.JobCancelled), tasks)
--- a/hibiscusprotocol/fuzz_test.go
+++ b/hibiscusprotocol/fuzz_test.go
@@ -134,9 +134,9 @@
 	f.Add([]byte(`{"service":"s","address":"10.0.0.1:1","slots":8,"connections":64}`))
 	f.Add([]byte(`{"service":"s","address":"x","slots":-1}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		api := NewEndpointAPI(http.DefaultClient, func(service string, slots int) error {
-			if service == "" || slots < 1 {
-				t.Fatalf("service %q with %d slots was taken", service, slots)
+		api := NewEndpointAPI(http.DefaultClient, func(service string, room hibiscusstate.Room) error {
+			if service == "" || room.Slots() < 1 {
+				t.Fatalf("service %q with %d slots was taken", service, room.Slots())
 			}
 			return nil
 		}, nil)
--- a/hibiscusprotocol/settings.go
+++ b/hibiscusprotocol/settings.go
@@ -14,6 +14,9 @@
 
 const (
 	defaultDrainTime = 2 * time.Second
+	// stopMargin is the part of stop_grace_s that is left for answers under way and the end of the process, before the
+	// process is killed.
+	stopMargin = 600 * time.Millisecond
 	// minSecretBytes is the length below which a shared key is refused.
 	minSecretBytes = 16
 )
@@ -27,6 +30,9 @@
 	SharedKey       string   `yaml:"shared_key"`
 	SeedEntries     []string `yaml:"seed_entries"`
 	DrainMS         *int64   `yaml:"drain_ms"`
+	StopGraceS      int64    `yaml:"stop_grace_s"`
+	ReadyAddress    string   `yaml:"ready_address"`
+	MetricsAddress  string   `yaml:"metrics_address"`
 	OperatorToken   string   `yaml:"operator_token"`
 	ViewerToken     string   `yaml:"viewer_token"`
 }
@@ -56,10 +62,10 @@
 	if err != nil {
 		return EntrySettings{}, err
 	}
-	if file.PlatformAddress != "" {
-		err = checkAddress(name, "platform_address", file.PlatformAddress)
-	}
 	for _, next := range []error{
+		checkOptionalAddress(name, "platform_address", file.PlatformAddress),
+		checkOptionalAddress(name, "ready_address", file.ReadyAddress),
+		checkOptionalAddress(name, "metrics_address", file.MetricsAddress),
 		checkAddress(name, "caller_address", file.CallerAddress), checkAddress(name, "session_address", file.SessionAddress),
 		checkToken(name, "operator_token", file.OperatorToken), checkToken(name, "viewer_token", file.ViewerToken),
 	} {
@@ -84,7 +90,8 @@
 		return AgentSettings{}, err
 	}
 	err = errors.CombineErrors(checkAddress(name, "endpoint_address", file.EndpointAddress),
-		checkToken(name, "viewer_token", file.ViewerToken))
+		errors.CombineErrors(checkOptionalAddress(name, "metrics_address", file.MetricsAddress),
+			checkToken(name, "viewer_token", file.ViewerToken)))
 	return AgentSettings{file: file}, err
 }
 
@@ -115,6 +122,14 @@
 	return nil
 }
 
+// checkOptionalAddress accepts an address that is not set or valid.
+func checkOptionalAddress(name, field, address string) error {
+	if address == "" {
+		return nil
+	}
+	return checkAddress(name, field, address)
+}
+
 // checkToken accepts an administration token that is not set or long enough.
 func checkToken(name, field, token string) error {
 	if token != "" && len(token) < minSecretBytes {
@@ -132,6 +147,26 @@
 // PlatformAddress returns where the platform's table service is, empty for none.
 func (s EntrySettings) PlatformAddress() string { return s.file.PlatformAddress }
 
+// ReadyAddress returns where GET /readyz is served apart from callers, empty for nowhere.
+func (s EntrySettings) ReadyAddress() string { return s.file.ReadyAddress }
+
+// MetricsAddress returns where GET /debug/vars is served to everybody, empty for nowhere.
+func (s EntrySettings) MetricsAddress() string { return s.file.MetricsAddress }
+
+// StopTime returns how long a planned stop may take, zero for as long as it needs.
+func (s EntrySettings) StopTime() time.Duration { return s.file.stopTime() }
+
+// MetricsAddress returns where GET /debug/vars is served to everybody, empty for nowhere.
+func (s AgentSettings) MetricsAddress() string { return s.file.MetricsAddress }
+
+// StopTime returns how long a planned stop may take, zero for as long as it needs.
+func (s AgentSettings) StopTime() time.Duration { return s.file.stopTime() }
+
+// stopTime leaves the last part of the grace for the answers that are under way.
+func (f settingsFile) stopTime() time.Duration {
+	return max(time.Duration(f.StopGraceS)*time.Second-stopMargin, 0)
+}
+
 // FailureDomain returns the failure domain of the VM.
 func (s EntrySettings) FailureDomain() string { return s.file.FailureDomain }
 
--- a/hibiscusprotocol/text_check.go
+++ b/hibiscusprotocol/text_check.go
@@ -25,9 +25,14 @@
 const (
 	maxTextBytes  = 1 << 20
 	maxNameLength = 63
-	maxRunTime    = time.Hour
-	maxDeadline   = 24 * time.Hour
-	maxShare      = 10_000
+	// maxAddressLength bounds a host or the beginning of a path.
+	maxAddressLength = 1024
+	maxRunTime       = time.Hour
+	maxDeadline      = 24 * time.Hour
+	maxShare         = 10_000
+	maxAttempts      = 100
+	maxPriority      = 100
+	maxStretch       = 1000
 	// maxQueuedBound is the number of tasks that wait at one entry for one service.
 	maxQueuedBound = 100_000
 )
@@ -173,6 +178,10 @@
 	var name string
 	var idempotent, urgent bool
 	var runTime, deadline time.Duration
+	var host, pathPrefix string
+	var stretch float64
+	var target time.Duration
+	attempts, priority := int64(1), int64(0)
 	var deadlineNode ast.Node
 	c.mapping(n, "a kind",
 		field{"name", true, func(n ast.Node) { name = c.name(n, "kind", known) }},
@@ -183,12 +192,19 @@
 			deadlineNode = n
 			deadline = milliseconds(c.integer(n, "deadline_ms", maxDeadline.Milliseconds()))
 		}},
+		field{"host", false, func(n ast.Node) { host = c.text(n, "host") }},
+		field{"path_prefix", false, func(n ast.Node) { pathPrefix = c.text(n, "path_prefix") }},
+		field{"attempts", false, func(n ast.Node) { attempts = c.integer(n, "attempts", maxAttempts) }},
+		field{"priority", false, func(n ast.Node) { priority = c.integer(n, "priority", maxPriority) }},
+		field{"stretch", false, func(n ast.Node) { stretch = c.number(n, "stretch", maxStretch) }},
+		field{"target_ms", false, func(n ast.Node) { target = milliseconds(c.integer(n, "target_ms", maxDeadline.Milliseconds())) }},
 	)
 	if deadline > 0 && deadline < runTime {
 		c.problem(deadlineNode, "deadline_ms %d is below run_ms %d; such a task could never be on time; expected %d to %d",
 			deadline.Milliseconds(), runTime.Milliseconds(), runTime.Milliseconds(), maxDeadline.Milliseconds())
 	}
-	return hibiscusstate.NewKind(name, idempotent, urgent, runTime, deadline)
+	return hibiscusstate.NewKind(name, idempotent, urgent, runTime, deadline).WithAddress(host, pathPrefix).
+		WithAttempts(int(attempts)).WithPriority(int(priority)).WithObjective(stretch, target)
 }
 
 func (c *textCheck) team(n ast.Node, known names) hibiscusstate.Team {
@@ -285,6 +301,26 @@
 	return value
 }
 
+// text reads a string of printable characters without spaces, like a host or a path.
+func (c *textCheck) text(n ast.Node, what string) string {
+	s, ok := n.(*ast.StringNode)
+	if !ok || s.Value == "" || len(s.Value) > maxAddressLength || strings.ContainsFunc(s.Value, func(r rune) bool { return r <= ' ' }) {
+		c.problem(n, "%s is %s; expected a text without spaces of at most %d characters", what, describe(n), maxAddressLength)
+		return ""
+	}
+	return s.Value
+}
+
+// number reads a number from one to most; zero stands for a value that was not valid.
+func (c *textCheck) number(n ast.Node, what string, most float64) float64 {
+	value, err := strconv.ParseFloat(n.GetToken().Value, 64)
+	if err != nil || !(value >= 1 && value <= most) {
+		c.problem(n, "%s is %s; expected a number from 1 to %g", what, describe(n), most)
+		return 0
+	}
+	return value
+}
+
 // graph notes dependencies on unknown services and every cycle, once each, at the dependency that closes it.
 func (c *textCheck) graph(known names) {
 	edges := map[string][]dependency{}
--- a/hibiscusstate/configuration.go
+++ b/hibiscusstate/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -40,6 +41,19 @@
 	return d.teams[i], true
 }
 
+// KindAt returns the service and the kind that callers reach under a host and a path: the one with the longest matching
+// beginning of the path.
+func (d *Document) KindAt(host, path string) (service string, kind Kind, ok bool) {
+	for _, s := range d.services {
+		for _, k := range s.kinds {
+			if k.host == host && host != "" && strings.HasPrefix(path, k.pathPrefix) && (!ok || len(k.pathPrefix) > len(kind.pathPrefix)) {
+				service, kind, ok = s.name, k, true
+			}
+		}
+	}
+	return service, kind, ok
+}
+
 // Service is one service of a document.
 type Service struct {
 	name      string
@@ -77,13 +91,71 @@
 	urgent     bool
 	runTime    time.Duration
 	deadline   time.Duration
+	host       string
+	pathPrefix string
+	attempts   int
+	priority   int
+	stretch    float64
+	target     time.Duration
 }
 
 // NewKind returns a kind with its declared run time and its default deadline.
 func NewKind(name string, idempotent, urgent bool, runTime, deadline time.Duration) Kind {
-	return Kind{name: name, idempotent: idempotent, urgent: urgent, runTime: runTime, deadline: deadline}
+	return Kind{name: name, idempotent: idempotent, urgent: urgent, runTime: runTime, deadline: deadline, attempts: 1}
+}
+
+// WithAddress returns the kind with the host and the beginning of the path under which callers reach it.
+func (k Kind) WithAddress(host, pathPrefix string) Kind {
+	k.host = host
+	k.pathPrefix = pathPrefix
+	return k
+}
+
+// WithAttempts returns the kind with how often a task may fail before its job does, once otherwise.
+func (k Kind) WithAttempts(attempts int) Kind {
+	k.attempts = attempts
+	return k
+}
+
+// WithPriority returns the kind with its priority; lower numbers come first.
+func (k Kind) WithPriority(priority int) Kind {
+	k.priority = priority
+	return k
+}
+
+// WithObjective returns the kind with its response time objective: stretch times the longest task, and target more.
+func (k Kind) WithObjective(stretch float64, target time.Duration) Kind {
+	k.stretch = stretch
+	k.target = target
+	return k
+}
+
+// Host returns the host under which callers reach the kind, empty for none.
+func (k Kind) Host() string { return k.host }
+
+// PathPrefix returns the beginning of the path under which callers reach the kind.
+func (k Kind) PathPrefix() string { return k.pathPrefix }
+
+// Attempts returns how often a task may fail before its job does.
+func (k Kind) Attempts() int { return k.attempts }
+
+// Priority returns the priority; lower numbers come first.
+func (k Kind) Priority() int { return k.priority }
+
+// Objective returns within which time a job whose longest task takes so long is due, zero for a kind without an objective.
+func (k Kind) Objective(longest time.Duration) time.Duration {
+	if k.stretch == 0 {
+		return 0
+	}
+	return time.Duration(k.stretch*float64(longest)) + k.target
 }
 
+// Stretch returns the factor of the objective, zero for a kind without one.
+func (k Kind) Stretch() float64 { return k.stretch }
+
+// Target returns the constant part of the objective.
+func (k Kind) Target() time.Duration { return k.target }
+
 // Name returns the name of the kind.
 func (k Kind) Name() string { return k.name }
 
--- a/hibiscusstate/enum.go
+++ b/hibiscusstate/enum.go
@@ -5,7 +5,7 @@
 // Outcome says what is known about one task.
 type Outcome int
 
-// The outcomes of a task.
+// The outcomes of a task. A lost task was started, and its run has ended for certain without a result.
 const (
 	OutcomePending    Outcome = iota // pending
 	OutcomeFinished                  // finished
@@ -13,6 +13,7 @@
 	OutcomeNotRun                    // not_run
 	OutcomeMayHaveRun                // may_have_run
 	OutcomeStopped                   // stopped
+	OutcomeLost                      // lost
 )
 
 // JobState says how far a job is.
--- a/hibiscusstate/enum_string.go
+++ b/hibiscusstate/enum_string.go
@@ -14,11 +14,12 @@
 	_ = x[OutcomeNotRun-3]
 	_ = x[OutcomeMayHaveRun-4]
 	_ = x[OutcomeStopped-5]
+	_ = x[OutcomeLost-6]
 }
 
-const _Outcome_name = "pendingfinishedfailednot_runmay_have_runstopped"
+const _Outcome_name = "pendingfinishedfailednot_runmay_have_runstoppedlost"
 
-var _Outcome_index = [...]uint8{0, 7, 15, 21, 28, 40, 47}
+var _Outcome_index = [...]uint8{0, 7, 15, 21, 28, 40, 47, 51}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -29,16 +29,21 @@
 	declared time.Duration
 	expected time.Duration
 	long     bool
+	room     Room
 
 	phase   TaskPhase
 	worker  Incarnation
 	sentAt  time.Time
 	moves   int
 	refused int
-	outcome Outcome
-	output  []byte
-	reason  string
-	runTime time.Duration
+	// failures counts the runs that ended failed, and ran says that a run may have begun.
+	failures int
+	ran      bool
+	avoid    Incarnation
+	outcome  Outcome
+	output   []byte
+	reason   string
+	runTime  time.Duration
 }
 
 // ID returns the task's id.
@@ -68,6 +73,12 @@
 	t.long = long
 }
 
+// Room returns what the task takes of its worker.
+func (t *Task) Room() Room { return t.room }
+
+// Work returns the expected run time times the slots that the task takes.
+func (t *Task) Work() time.Duration { return t.expected * time.Duration(t.room.slots) }
+
 // Phase returns where the entry believes the task to be.
 func (t *Task) Phase() TaskPhase { return t.phase }
 
@@ -86,6 +97,26 @@
 // Refused returns how often a worker would not take the task for a reason other than its load.
 func (t *Task) Refused() int { return t.refused }
 
+// Failures returns how many runs of the task ended failed.
+func (t *Task) Failures() int { return t.failures }
+
+// Avoid makes the task prefer other workers than the one on which a run of it ended without a result.
+func (t *Task) Avoid(worker Incarnation) { t.avoid = worker }
+
+// Avoided returns the worker that the task prefers not to go to, zero for none.
+func (t *Task) Avoided() Incarnation { return t.avoid }
+
+// MarkEnded records that a run of the task ended without a result, by its own failure or not, and that the task waits for a
+// worker again.
+func (t *Task) MarkEnded(failed bool) {
+	t.phase = PhaseQueued
+	t.moves++
+	t.ran = true
+	if failed {
+		t.failures++
+	}
+}
+
 // Outcome returns what is known about the task.
 func (t *Task) Outcome() Outcome { return t.outcome }
 
@@ -123,6 +154,10 @@
 	if t.phase == PhaseDone {
 		return false
 	}
+	if outcome == OutcomeNotRun && t.ran {
+		// An earlier run began, so that the task can't be called not run.
+		outcome = OutcomeLost
+	}
 	t.phase = PhaseDone
 	t.outcome = outcome
 	t.output = output
@@ -147,6 +182,9 @@
 	deadline    time.Time
 	due         time.Time
 	tasks       []Task
+	name        string
+	attempts    int
+	latest      time.Time
 	pending     int
 	unfinished  int
 	cancelled   bool
@@ -168,7 +206,7 @@
 	j.tasks = make([]Task, len(specs))
 	for i := range specs {
 		s := &specs[i]
-		j.tasks[i] = Task{id: NewTaskID(j.key, i), job: j, kind: s.kind, payload: s.payload, declared: s.declared}
+		j.tasks[i] = Task{id: NewTaskID(j.key, i), job: j, kind: s.kind, payload: s.payload, declared: s.declared, room: s.room}
 		j.bytes += len(s.payload) + taskRecordBytes
 	}
 	j.pending = len(specs)
@@ -203,6 +241,29 @@
 	}
 }
 
+// SetName gives the job the name that its client chose for it, and how often a task of it may fail.
+func (j *Job) SetName(name string, attempts int) {
+	j.name = name
+	j.attempts = attempts
+}
+
+// Name returns the name that the client chose, empty for none. Tasks of a named job may be run again.
+func (j *Job) Name() string { return j.name }
+
+// Attempts returns how often a task of a named job may fail.
+func (j *Job) Attempts() int { return j.attempts }
+
+// SetLatest sets the time after which an answer is of no use to the caller.
+func (j *Job) SetLatest(latest time.Time) { j.latest = latest }
+
+// Latest returns the time after which an answer is of no use to the caller: the deadline unless SetLatest brought it forward.
+func (j *Job) Latest() time.Time {
+	if j.latest.IsZero() || j.deadline.Before(j.latest) {
+		return j.deadline
+	}
+	return j.latest
+}
+
 // Len returns the number of tasks.
 func (j *Job) Len() int { return len(j.tasks) }
 
@@ -252,13 +313,23 @@
 	kind     string
 	payload  []byte
 	declared time.Duration
+	room     Room
 }
 
 // NewTaskSpec returns a specification; declared is the caller's guess of the run time, zero for none.
 func NewTaskSpec(kind string, payload []byte, declared time.Duration) TaskSpec {
-	return TaskSpec{kind: kind, payload: payload, declared: declared}
+	return TaskSpec{kind: kind, payload: payload, declared: declared, room: Room{slots: 1}}
 }
 
+// WithRoom returns the specification of a task that takes this much of its worker, one slot otherwise.
+func (s TaskSpec) WithRoom(room Room) TaskSpec {
+	s.room = room
+	return s
+}
+
+// Room returns what the task takes of its worker.
+func (s TaskSpec) Room() Room { return s.room }
+
 // Kind returns the name of the task's kind.
 func (s TaskSpec) Kind() string { return s.kind }
 
--- a/hibiscusstate/order.go
+++ b/hibiscusstate/order.go
@@ -27,15 +27,38 @@
 	payload   []byte
 	budget    time.Duration
 	lease     uint64
+	room      Room
+	jobName   string
 	mayWait   bool
 	waitLimit time.Duration
 }
 
 // NewOrder returns an order for a try of a task of a job with count tasks and the given body digest.
 func NewOrder(try TaskTry, count int, digest uint64, kind string, payload []byte) Order {
-	return Order{try: try, count: count, digest: digest, kind: kind, payload: payload}
+	return Order{try: try, count: count, digest: digest, kind: kind, payload: payload, room: Room{slots: 1}}
 }
 
+// WithRoom returns the order of a task that takes this much of its worker, one slot otherwise.
+func (o Order) WithRoom(room Room) Order {
+	o.room = room
+	return o
+}
+
+// WithJobName returns the order of a task of a job that its client named; the task may be run again.
+func (o Order) WithJobName(name string) Order {
+	o.jobName = name
+	return o
+}
+
+// JobName returns the name that the client gave to the job, empty for none.
+func (o Order) JobName() string { return o.jobName }
+
+// Restartable says whether the task may be run again after it ended without a result.
+func (o Order) Restartable() bool { return o.jobName != "" }
+
+// Room returns what the task takes of its worker.
+func (o Order) Room() Room { return o.room }
+
 // WithBudget returns the order with the time that is left until the job's deadline.
 func (o Order) WithBudget(budget time.Duration) Order {
 	o.budget = budget
@@ -121,7 +144,8 @@
 	return r
 }
 
-// WithLoad returns the report with the agent's load: tasks of other entries, waiting tasks, and the lease epoch.
+// WithLoad returns the report with the agent's load: slots that tasks of other entries take, waiting tasks, and the
+// lease epoch.
 func (r Report) WithLoad(others, waiting int, lease uint64) Report {
 	r.others = others
 	r.waiting = waiting
@@ -159,7 +183,7 @@
 // Digest returns the body digest of the job.
 func (r Report) Digest() uint64 { return r.digest }
 
-// Others returns how many tasks of other entries the agent has, running and waiting.
+// Others returns how many slots the tasks of other entries take, running and waiting.
 func (r Report) Others() int { return r.others }
 
 // Waiting returns how many tasks wait at the agent.
--- a/hibiscusstate/queue.go
+++ b/hibiscusstate/queue.go
@@ -19,6 +19,7 @@
 	active  []*teamQueue
 	virtual time.Duration
 	waiting int
+	slots   int
 	work    time.Duration
 }
 
@@ -58,10 +59,13 @@
 	return t.waiting
 }
 
-// Work returns the sum of the expected run times of the waiting tasks.
+// Slots returns how many slots the waiting tasks take.
+func (q *FairQueue) Slots() int { return q.slots }
+
+// Work returns the sum of the expected run times of the waiting tasks, each times the slots that it takes.
 func (q *FairQueue) Work() time.Duration { return q.work }
 
-// TeamWork returns the sum of the expected run times of a team's waiting tasks.
+// TeamWork returns Work of a team's waiting tasks.
 func (q *FairQueue) TeamWork(team string) time.Duration {
 	t := q.teams[team]
 	if t == nil {
@@ -91,9 +95,10 @@
 	}
 	heap.Push(&team.classes[class], t)
 	team.waiting++
-	team.work += t.expected
+	team.work += t.Work()
 	q.waiting++
-	q.work += t.expected
+	q.slots += t.room.slots
+	q.work += t.Work()
 	if !team.active {
 		// A team that was idle starts at the queue's virtual time: idle time earns no credit.
 		team.virtual = max(team.virtual, q.virtual)
@@ -160,15 +165,16 @@
 	heap.Pop(&best.classes[class])
 	q.uncount(best, bestTask)
 	q.virtual = best.virtual
-	best.virtual += bestTask.expected / time.Duration(best.share)
+	best.virtual += bestTask.Work() / time.Duration(best.share)
 	return bestTask
 }
 
 func (q *FairQueue) uncount(team *teamQueue, t *Task) {
 	team.waiting--
-	team.work -= t.expected
+	team.work -= t.Work()
 	q.waiting--
-	q.work -= t.expected
+	q.slots -= t.room.slots
+	q.work -= t.Work()
 }
 
 func (q *FairQueue) team(name string) *teamQueue {
--- a/hibiscusstate/worker.go
+++ b/hibiscusstate/worker.go
@@ -15,11 +15,13 @@
 	primary     bool
 	preference  uint64
 	inFlight    int
+	tasks       int
 	longs       int
 	others      int
 	waiting     int
 	reportedAt  time.Time
-	held        []time.Time
+	held        []heldSlots
+	heldSlots   int
 	health      Health
 	connected   bool
 	failures    int
@@ -35,6 +37,12 @@
 	healthCause string
 }
 
+// heldSlots are slots that count as taken until a time.
+type heldSlots struct {
+	slots int
+	until time.Time
+}
+
 // NewWorker returns the view of a connected worker that no task was given to; preference orders workers that are equal
 // otherwise, and should differ between entries.
 func NewWorker(id Incarnation, address, domain, service string, slots int, preference uint64) *Worker {
@@ -56,10 +64,10 @@
 // Service returns the service that the worker's endpoint serves.
 func (w *Worker) Service() string { return w.service }
 
-// Slots returns how many tasks the worker runs at once.
+// Slots returns how many slots the worker has.
 func (w *Worker) Slots() int { return w.slots }
 
-// SetSlots sets how many tasks the worker runs at once.
+// SetSlots sets how many slots the worker has.
 func (w *Worker) SetSlots(slots int) { w.slots = slots }
 
 // Preference returns what orders workers that are equal otherwise.
@@ -71,13 +79,16 @@
 // SetPrimary sets whether this entry ranks first for the worker.
 func (w *Worker) SetPrimary(primary bool) { w.primary = primary }
 
-// InFlight returns how many tasks of this entry the worker has.
+// Tasks returns how many tasks of this entry the worker has.
+func (w *Worker) Tasks() int { return w.tasks }
+
+// InFlight returns how many slots the tasks of this entry take at the worker.
 func (w *Worker) InFlight() int { return w.inFlight }
 
-// Longs returns how many of them are predicted to be long.
+// Longs returns how many of the tasks are predicted to be long.
 func (w *Worker) Longs() int { return w.longs }
 
-// Others returns how many tasks of other entries the worker had at the last report.
+// Others returns how many slots the tasks of other entries took at the last report.
 func (w *Worker) Others() int { return w.others }
 
 // Waiting returns how many tasks waited at the agent at the last report.
@@ -109,7 +120,8 @@
 
 // Add counts a task that was given to the worker.
 func (w *Worker) Add(t *Task) {
-	w.inFlight++
+	w.tasks++
+	w.inFlight += t.room.slots
 	if t.long {
 		w.longs++
 	}
@@ -117,13 +129,14 @@
 
 // Remove counts a task that the worker no longer has.
 func (w *Worker) Remove(t *Task) {
-	w.inFlight--
+	w.tasks--
+	w.inFlight -= t.room.slots
 	if t.long {
 		w.longs--
 	}
 }
 
-// Report takes what the agent says about tasks of other entries: running and waiting, at now.
+// Report takes what the agent says: the slots that tasks of other entries take, and how many tasks wait, at now.
 func (w *Worker) Report(others, waiting int, now time.Time) {
 	w.others = others
 	w.waiting = waiting
@@ -133,27 +146,29 @@
 // ReportedAt returns when the last report came.
 func (w *Worker) ReportedAt() time.Time { return w.reportedAt }
 
-// Hold keeps one slot counted as taken until a time, so that a task that failed at once doesn't attract the next.
-func (w *Worker) Hold(until time.Time) {
-	if len(w.held) < w.slots {
-		w.held = append(w.held, until)
+// Hold keeps slots counted as taken until a time, so that a task that failed at once doesn't attract the next.
+func (w *Worker) Hold(slots int, until time.Time) {
+	slots = min(slots, w.slots-w.heldSlots)
+	if slots > 0 {
+		w.held = append(w.held, heldSlots{slots: slots, until: until})
+		w.heldSlots += slots
 	}
 }
 
 // HoldAll keeps all slots counted as taken until a time.
 func (w *Worker) HoldAll(until time.Time) {
-	w.held = w.held[:0]
-	for range w.slots {
-		w.held = append(w.held, until)
-	}
+	w.held = append(w.held[:0], heldSlots{slots: w.slots, until: until})
+	w.heldSlots = w.slots
 }
 
 // ReleaseHolds frees the held slots whose time has passed and says whether there was one.
 func (w *Worker) ReleaseHolds(now time.Time) bool {
 	kept := w.held[:0]
-	for _, until := range w.held {
-		if until.After(now) {
-			kept = append(kept, until)
+	for _, h := range w.held {
+		if h.until.After(now) {
+			kept = append(kept, h)
+		} else {
+			w.heldSlots -= h.slots
 		}
 	}
 	released := len(kept) < len(w.held)
@@ -162,7 +177,7 @@
 }
 
 // Free returns the number of slots that are free in this view; it is negative when tasks wait.
-func (w *Worker) Free() int { return w.slots - w.inFlight - w.others - len(w.held) }
+func (w *Worker) Free() int { return w.slots - w.inFlight - w.others - w.heldSlots }
 
 // Usable says whether the worker may get a task.
 func (w *Worker) Usable() bool {
--- a/hibiscusstate/worker_heap.go
+++ b/hibiscusstate/worker_heap.go
@@ -6,20 +6,46 @@
 // costs nothing. Candidates returns the best few without sorting.
 type WorkerHeap struct {
 	workers []*Worker
+	unit    int
 }
 
 const (
 	// primaryScore lifts the workers for which this entry ranks first above all others with a free slot, so that entries
 	// with late views rarely pick the same slot.
-	primaryScore = 1 << 12
+	primaryScore = 1 << 36
 	// freeScore lifts a worker with a free slot above all without.
-	freeScore = 1 << 16
+	freeScore = 1 << 40
 	// unusableScore sorts the workers that get nothing below all others.
-	unusableScore = -1 << 20
+	unusableScore = -1 << 40
+	// candidates is how many positions at the top of the heap Fitting looks at.
+	candidates = 8
 )
 
 // NewWorkerHeap returns an empty heap.
-func NewWorkerHeap() *WorkerHeap { return &WorkerHeap{} }
+func NewWorkerHeap() *WorkerHeap { return &WorkerHeap{unit: 1} }
+
+// SetUnit sets how many slots have to be free for a worker to count as free, and orders all workers anew.
+func (h *WorkerHeap) SetUnit(slots int) {
+	h.unit = max(slots, 1)
+	for _, w := range h.workers {
+		w.score = h.scoreOf(w)
+	}
+	for i := len(h.workers)/2 - 1; i >= 0; i-- {
+		h.down(i)
+	}
+}
+
+// Fitting returns the worker among the best few that attracts a task of so many slots most and has them free, other than
+// avoid; nil for none.
+func (h *WorkerHeap) Fitting(slots int, avoid Incarnation) *Worker {
+	var best *Worker
+	for _, w := range h.workers[:min(candidates, len(h.workers))] {
+		if w.score > unusableScore && w.Free() >= slots && w.id != avoid && (best == nil || attractsMore(w, best)) {
+			best = w
+		}
+	}
+	return best
+}
 
 // Len returns the number of workers.
 func (h *WorkerHeap) Len() int { return len(h.workers) }
@@ -37,7 +63,7 @@
 
 // Add puts a worker into the heap.
 func (h *WorkerHeap) Add(w *Worker) {
-	w.score = scoreOf(w)
+	w.score = h.scoreOf(w)
 	w.heapIndex = len(h.workers)
 	h.workers = append(h.workers, w)
 	h.up(w.heapIndex)
@@ -59,7 +85,7 @@
 
 // Update restores the order after a change of w.
 func (h *WorkerHeap) Update(w *Worker) {
-	score := scoreOf(w)
+	score := h.scoreOf(w)
 	if score == w.score {
 		return
 	}
@@ -72,13 +98,13 @@
 	h.down(w.heapIndex)
 }
 
-func scoreOf(w *Worker) int {
+func (h *WorkerHeap) scoreOf(w *Worker) int {
 	if !w.Usable() {
 		return unusableScore
 	}
 	free := w.Free()
-	if free <= 0 {
-		return free - w.waiting
+	if free < h.unit {
+		return free - w.waiting*h.unit
 	}
 	score := freeScore + free
 	if w.primary {
--- a/hibiscustransport/network.go
+++ b/hibiscustransport/network.go
@@ -11,6 +11,14 @@
 // dialTimeout bounds the set-up of a TCP connection.
 const dialTimeout = time.Second
 
+// An open connection can go silent for good. A reader that waits for long, like one that follows the table's changes, learns
+// of it from these probes, 1.4 s after the last byte.
+const (
+	keepAliveIdle     = 500 * time.Millisecond
+	keepAliveInterval = 300 * time.Millisecond
+	keepAliveCount    = 3
+)
+
 // Network opens listeners and connections; tests put an in-memory one with faults in its place.
 type Network struct {
 	listen func(address string) (net.Listener, error)
@@ -27,7 +35,9 @@
 
 // NewTCPNetwork returns the network of the machine.
 func NewTCPNetwork() Network {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
 	return NewNetwork(
 		func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		func(ctx context.Context, address string) (net.Conn, error) {
