Let late jobs yield, tell entries of load, stop stalled runs, open sessions sooner

Entries with nothing at a full worker never heard that it had room again; each job in its due order was served just after its time; a hung worker held its ten tasks until their clients left; after a loss of power everywhere the first look at a worker was held back for 300 ms and a dial to a host that was still down cost a second.

Ruled out: processor time (entry 0.02, agent 0.013 of a core).

Change: a class for late jobs in the queue, load messages when an entry believes the opposite of the truth about room, runs whose percentage stands still are stopped and counted against the worker, the first look is not held back, dials are bounded to 300 ms and repeated every 100 ms in the first 3 s, some tasks wait at agents from a backlog of 4 on.

--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -203,7 +203,7 @@
 		a.log.Info("agent: an operator changed the drain", "drained", m.Capacity().Drained())
 		a.keeper.SetDrained(id, m.Capacity().Drained())
 	case MessageHello, MessagePing, MessagePong:
-	case MessageReports, MessageRecovered, MessageForward, MessageForwarded:
+	case MessageReports, MessageRecovered, MessageForward, MessageForwarded, MessageLoad:
 		a.log.Warn("session: message not meant for an agent", "kind", m.Kind().String())
 	}
 }
--- a/hibiscuscoordination/agent_snapshot.go
+++ b/hibiscuscoordination/agent_snapshot.go
@@ -23,7 +23,7 @@
 	messages   uint64
 	records    int
 	bytes      int
-	outcomes   [hibiscusstate.OutcomeLost + 1]uint64
+	outcomes   [hibiscusstate.OutcomeStalled + 1]uint64
 	rejections [hibiscusstate.RejectionStopped + 1]uint64
 	ring       RingSnapshot
 }
--- a/hibiscuscoordination/dispatcher_workers.go
+++ b/hibiscuscoordination/dispatcher_workers.go
@@ -81,6 +81,17 @@
 	d.dispatch(now, a.pool)
 }
 
+// Load takes a worker's word about the tasks of other entries.
+func (d *Dispatcher) Load(now time.Time, id hibiscusstate.Incarnation, l Load) {
+	a := d.workers[id]
+	if a == nil {
+		return
+	}
+	a.worker.Report(l.others, l.waiting, now)
+	a.update()
+	d.dispatch(now, a.pool)
+}
+
 // moveToService serves the first announcement of an endpoint that came after its agent's session.
 func (d *Dispatcher) moveToService(a *assignment, service string) *assignment {
 	a.leavePool()
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -349,6 +349,8 @@
 			p.Send(NewStopMessage(nil))
 		}
 		e.confirmDrain(p, m.Capacity())
+	case MessageLoad:
+		e.dispatcher.Load(now, id, m.Load())
 	case MessageRecovered:
 		e.recovered(now, id, m)
 	case MessageForward:
--- a/hibiscuscoordination/event.go
+++ b/hibiscuscoordination/event.go
@@ -38,7 +38,7 @@
 	moves      uint64
 	messages   uint64
 	jobStates  [hibiscusstate.JobCancelled + 1]uint64
-	outcomes   [hibiscusstate.OutcomeLost + 1]uint64
+	outcomes   [hibiscusstate.OutcomeStalled + 1]uint64
 	refusals   [hibiscusstate.RefusalOutcomeUnknown + 1]uint64
 	rejections [hibiscusstate.RejectionStopped + 1]uint64
 }
--- a/hibiscuscoordination/health.go
+++ b/hibiscuscoordination/health.go
@@ -14,6 +14,9 @@
 const (
 	// outAfterFailures is how many failures in a row take a worker out.
 	outAfterFailures = 5
+	// stalledFailures is how many failures in a row take a worker out whose tasks stand still, which count twice: a sound task
+	// makes progress, so that two are no accident.
+	stalledFailures = 4
 	// maxOutPercent bounds the part of a service's workers that may be out at once.
 	maxOutPercent = 30
 	// serviceFailureLimit is the part of failures in the whole service above which no worker is blamed.
@@ -52,7 +55,13 @@
 		if failures >= outAfterFailures || w.Health() == hibiscusstate.HealthOnTrial {
 			d.takeOut(now, a, fmt.Sprintf("%d tasks in a row failed", failures))
 		}
-	case hibiscusstate.OutcomeStopped, hibiscusstate.OutcomeNotRun, hibiscusstate.OutcomePending:
+	case hibiscusstate.OutcomeStalled:
+		a.pool.failures += (1 - a.pool.failures) * failureWeight
+		w.CountFailed()
+		if failures := w.CountFailed(); failures >= stalledFailures || w.Health() == hibiscusstate.HealthOnTrial {
+			d.takeOut(now, a, "its tasks stand still")
+		}
+	case hibiscusstate.OutcomeStopped, hibiscusstate.OutcomeNotRun, hibiscusstate.OutcomePending, hibiscusstate.OutcomeLost:
 	}
 }
 
--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -41,6 +41,12 @@
 	renewWhileSilent = 600 * time.Millisecond
 	// retryLook is the time between two looks when the endpoint does not answer.
 	retryLook = 50 * time.Millisecond
+	// stallTime, stallParts and firstStallPart say when a run stands still: its percentage does not change for stallTime, for
+	// stallParts times as long as one percent has taken so far, and before the first percent for a part of its expected time.
+	// A task of 8 s on a worker that is 6 times slower makes a percent in 0.5 s.
+	stallTime      = 300 * time.Millisecond
+	stallParts     = 5
+	firstStallPart = 10
 	// firstNumbers bounds how many numbers a start tries when the endpoint has seen higher ones.
 	firstNumbers = 12
 	// maxForgotten bounds the runs that are remembered after their end.
@@ -79,6 +85,12 @@
 	answered bool
 	settled  uint64
 	ended    chan RunEnd
+	// percent is the progress that was listed last, since changedAt; stalled gets a value when it stands still for too long.
+	percent   int
+	beganAt   time.Time
+	changedAt time.Time
+	expected  time.Duration
+	stalled   chan struct{}
 }
 
 // NewLeasedWorker returns the duty, without an endpoint.
@@ -146,7 +158,7 @@
 	number := order.Try().Number() + 1
 	for range firstNumbers {
 		id := NewRunID(order.JobName(), order.ID().Index(), number)
-		run, request, life, err := w.begin(id, order.Payload())
+		run, request, life, err := w.begin(id, order)
 		if err != nil {
 			return NewNotRunResult(hibiscusstate.RejectionEndpointDown)
 		}
@@ -179,14 +191,16 @@
 }
 
 // begin records a run that is about to be asked for.
-func (w *LeasedWorker) begin(id RunID, payload []byte) (*leasedRun, StartRequest, WorkerLife, error) {
+func (w *LeasedWorker) begin(id RunID, order hibiscusstate.Order) (*leasedRun, StartRequest, WorkerLife, error) {
 	plan, err := ask(w.duty, func(now time.Time) startPlan {
 		if w.life.id == "" || !w.listed || w.runs[id] != nil {
 			return startPlan{}
 		}
-		run := &leasedRun{id: id, ended: make(chan RunEnd, 1)}
+		run := &leasedRun{
+			id: id, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1), expected: order.Expected(), beganAt: now, changedAt: now,
+		}
 		w.runs[id] = run
-		return startPlan{run: run, life: w.life, request: StartRequest{run: id, payload: payload, until: w.renew(now)}}
+		return startPlan{run: run, life: w.life, request: StartRequest{run: id, payload: order.Payload(), until: w.renew(now)}}
 	})
 	if err == nil && plan.run == nil {
 		err = ErrEndpointGone
@@ -220,11 +234,22 @@
 	select {
 	case end := <-run.ended:
 		return resultOfEnd(end, false)
+	case <-run.stalled:
+		w.log.Warn("endpoint: run stands still, stopping it", "job", run.id.job, "index", run.id.index, "run", run.id.number)
+		return stalledResult(w.stopAndAwait(ctx, life, run))
 	case <-ctx.Done():
 		return w.stopAndAwait(ctx, life, run)
 	}
 }
 
+// stalledResult returns the result of a run that was stopped because it stood still, unless it ended otherwise.
+func stalledResult(r RunResult) RunResult {
+	if r.outcome == hibiscusstate.OutcomeLost {
+		return NewRunResult(hibiscusstate.OutcomeStalled, nil, "the run made no progress")
+	}
+	return r
+}
+
 // stopAndAwait stops a run and waits for its end. The request is repeated until it is answered, also past ctx, because the run
 // takes room until its end is known.
 func (w *LeasedWorker) stopAndAwait(ctx context.Context, life WorkerLife, run *leasedRun) RunResult {
@@ -312,7 +337,11 @@
 }
 
 func (w *LeasedWorker) planLook(now time.Time, wait time.Duration) lookPlan {
-	if len(w.runs) == 0 && wait > 0 && w.listed {
+	switch {
+	case !w.listed:
+		// Nothing is offered before the first list, so that it is asked for at once.
+		wait = 0
+	case len(w.runs) == 0 && wait > 0:
 		wait = idleLook
 	}
 	w.looks++
@@ -356,7 +385,7 @@
 		return
 	}
 	w.applied = number
-	w.compare(number, l.running)
+	w.compare(now, number, l.running)
 	if !w.listed && len(w.orphans) == 0 {
 		w.listed = true
 		w.log.Info("endpoint: first list is empty", "endpoint", w.life.id, "born", w.life.born)
@@ -365,10 +394,13 @@
 }
 
 // compare ends the runs that a list lacks, and stops those that nobody here has started.
-func (w *LeasedWorker) compare(number uint64, running []ListedRun) {
+func (w *LeasedWorker) compare(now time.Time, number uint64, running []ListedRun) {
 	listed := make(map[RunID]bool, len(running))
 	for _, r := range running {
 		listed[r.run] = true
+		if run := w.runs[r.run]; run != nil {
+			run.observe(now, r.percent)
+		}
 		if w.runs[r.run] == nil && !w.orphans[r.run] && w.forgotten[r.run] < number {
 			w.stopOrphan(r.run)
 		}
@@ -390,6 +422,25 @@
 	}
 }
 
+// observe takes the percentage of a run's work that is done, and reports a run that stands still.
+func (r *leasedRun) observe(now time.Time, percent int) {
+	if percent != r.percent {
+		r.percent, r.changedAt = percent, now
+		return
+	}
+	limit := max(stallTime, r.expected/firstStallPart)
+	if percent > 0 {
+		limit = max(stallTime, stallParts*r.changedAt.Sub(r.beganAt)/time.Duration(percent))
+	}
+	if now.Sub(r.changedAt) < limit {
+		return
+	}
+	select {
+	case r.stalled <- struct{}{}:
+	default:
+	}
+}
+
 // stopOrphan stops a run that an earlier agent process started. Its room is not known, so that none is offered meanwhile.
 func (w *LeasedWorker) stopOrphan(id RunID) {
 	w.log.Warn("endpoint: stopping a run that this process did not start", "job", id.job, "index", id.index, "run", id.number)
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -28,6 +28,7 @@
 	MessageMembers                          // members
 	MessageCapacity                         // capacity
 	MessageInForce                          // in_force
+	MessageLoad                             // load
 )
 
 // Role says what a process is.
@@ -165,6 +166,7 @@
 	answer        *Answer
 	configuration *hibiscusstate.Configuration
 	members       []Member
+	load          Load
 }
 
 // NewInForceMessage returns a message that tells which configuration version is in force in the sender.
@@ -172,6 +174,27 @@
 	return Message{kind: MessageInForce, hello: Hello{version: version}}
 }
 
+// Load is what an agent's tasks of other entries than the addressed one take.
+type Load struct {
+	others  int
+	waiting int
+}
+
+// NewLoad returns a load: the slots that tasks of other entries take, and the number of tasks that wait at the agent.
+func NewLoad(others, waiting int) Load { return Load{others: others, waiting: waiting} }
+
+// Others returns the slots that tasks of other entries take.
+func (l Load) Others() int { return l.others }
+
+// Waiting returns the number of tasks that wait at the agent.
+func (l Load) Waiting() int { return l.waiting }
+
+// NewLoadMessage returns a message that tells an entry of an agent's load when it gets no report that does.
+func NewLoadMessage(load Load) Message { return Message{kind: MessageLoad, load: load} }
+
+// Load returns the load of a load message.
+func (m Message) Load() Load { return m.load }
+
 // NewHelloMessage returns the first message of a session.
 func NewHelloMessage(hello Hello) Message { return Message{kind: MessageHello, hello: hello} }
 
--- a/hibiscuscoordination/named.go
+++ b/hibiscuscoordination/named.go
@@ -88,7 +88,7 @@
 	job := t.Job()
 	failed := r.Outcome() == hibiscusstate.OutcomeFailed
 	switch r.Outcome() {
-	case hibiscusstate.OutcomeFailed, hibiscusstate.OutcomeLost, hibiscusstate.OutcomeStopped:
+	case hibiscusstate.OutcomeFailed, hibiscusstate.OutcomeLost, hibiscusstate.OutcomeStopped, hibiscusstate.OutcomeStalled:
 	case hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeNotRun, hibiscusstate.OutcomeMayHaveRun, hibiscusstate.OutcomePending:
 		return false
 	}
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -17,6 +17,9 @@
 	// agentWaitLimit is how long a task may wait at an agent before it comes back, unless the service is full: then all
 	// agents have tasks waiting, and with this limit a surge wasted 0.23 to 0.32 messages a task.
 	agentWaitLimit = 100 * time.Millisecond
+	// waitingBacklog is how many usual tasks have to wait at an entry before some are sent to wait at agents, where workers
+	// count their slots in small units.
+	waitingBacklog = 4
 	// staleWaitPart is the part of its run time that a task may wait for a slot that this entry believed to be free. A
 	// rejection costs two messages and another try by a view that is no better.
 	staleWaitPart = 4
@@ -37,13 +40,13 @@
 		}
 		wait := time.Duration(0)
 		if w.Free() < p.unit {
-			if p.unit-1-w.Free() >= d.waitPlaces()*p.unit || p.queue.Slots() < p.slots/len(d.entries) {
+			if p.unit-1-w.Free() >= d.waitPlaces()*p.unit || p.queue.Slots() < d.backlog(p) {
 				// A short queue is served sooner by the next free slot anywhere than by one agent's.
 				return
 			}
 			wait = max(2*p.runTimes.Usual(), agentWaitLimit)
 		}
-		t := p.queue.Pop(p.longs*100 < p.slots*longSlotPercent)
+		t := p.queue.Pop(now, p.longs*100 < p.slots*longSlotPercent)
 		if t == nil {
 			return
 		}
@@ -79,6 +82,16 @@
 	d.finish(now, r)
 }
 
+// backlog returns from how many waiting slots on tasks are sent to wait at agents. A short queue is served sooner by the next
+// free slot anywhere than by one agent's, where tasks run as long as a message takes. A worker that runs many tasks at once
+// has a free slot soon, and would stand idle for the time of a report and an order.
+func (d *Dispatcher) backlog(p *pool) int {
+	if p.unit == 1 {
+		return p.slots / len(d.entries)
+	}
+	return min(p.slots/len(d.entries), waitingBacklog*p.unit)
+}
+
 // waitPlaces returns this entry's share of the waiting places at an agent.
 func (d *Dispatcher) waitPlaces() int { return max(agentWaitPlaces/len(d.entries), 1) }
 
@@ -89,7 +102,7 @@
 		d.dirty = append(d.dirty, a)
 	}
 	order := hibiscusstate.NewOrder(t.Try(), job.Len(), job.Digest(), t.Kind(), t.Payload()).
-		WithBudget(job.Deadline().Sub(now)).WithLease(a.worker.Lease()).WithWait(wait).WithRoom(t.Room()).WithJobName(job.Name())
+		WithBudget(job.Deadline().Sub(now)).WithLease(a.worker.Lease()).WithWait(wait).WithRoom(t.Room()).WithJobName(job.Name()).WithExpected(t.Expected())
 	a.orders = append(a.orders, order)
 	a.tasks[t.ID()] = t
 	t.MarkSent(a.worker.ID(), now)
--- a/hibiscuscoordination/slot_keeper.go
+++ b/hibiscuscoordination/slot_keeper.go
@@ -26,6 +26,11 @@
 	// orphanLimit is how long tasks that may be run again go on without a session to their entry. A client whose connection
 	// broke sends its job again 1.3 s later; the lost session is noticed after at most 0.9 s, and a stop takes 50 ms.
 	orphanLimit = 300 * time.Millisecond
+	// loadInterval is the least time between two loads that an entry is told of, times the number of entries: one entry hears
+	// from 11 agents beside 3 others at most 1,100 times a second, and only while they change between full and not full.
+	loadInterval = 2 * time.Millisecond
+	// unitPart is the part by which one task moves the usual number of slots.
+	unitPart = 8
 )
 
 // SlotKeeper decides for one agent.
@@ -41,19 +46,21 @@
 	sealed      *hibiscusstate.BoundedSet[hibiscusstate.SubmissionKey]
 	settled     *hibiscusstate.BoundedSet[hibiscusstate.TaskTry]
 	watchers    map[hibiscusstate.SubmissionKey][]watcher
-	leaving     bool
-	firstLease  uint64
-	drained     bool
-	outbox      map[hibiscusstate.Incarnation][]hibiscusstate.Report
-	send        func(entry hibiscusstate.Incarnation, m Message) bool
-	run         func(slot int, order hibiscusstate.Order)
-	stop        func(slot int, try hibiscusstate.TaskTry)
-	started     uint64
-	duplicates  uint64
-	leases      uint64
-	messages    uint64
-	outcomes    [hibiscusstate.OutcomeLost + 1]uint64
-	rejections  [hibiscusstate.RejectionStopped + 1]uint64
+	// unit is how many slots a task usually takes; an endpoint with fewer free ones counts as full.
+	unit       int
+	leaving    bool
+	firstLease uint64
+	drained    bool
+	outbox     map[hibiscusstate.Incarnation][]hibiscusstate.Report
+	send       func(entry hibiscusstate.Incarnation, m Message) bool
+	run        func(slot int, order hibiscusstate.Order)
+	stop       func(slot int, try hibiscusstate.TaskTry)
+	started    uint64
+	duplicates uint64
+	leases     uint64
+	messages   uint64
+	outcomes   [hibiscusstate.OutcomeStalled + 1]uint64
+	rejections [hibiscusstate.RejectionStopped + 1]uint64
 }
 
 // client is an entry as the agent knows it.
@@ -68,6 +75,9 @@
 	slots    int
 	lostAt   time.Time
 	orphaned bool
+	// told is the load that the entry was told last, at toldAt.
+	told   Load
+	toldAt time.Time
 }
 
 // watcher is an entry that recovers a job and waits for the tasks that still run.
@@ -354,6 +364,10 @@
 	slot := k.freeSlot()
 	k.slots[slot] = t
 	k.used = k.used.Add(t.Order().Room())
+	k.unit += (t.Order().Room().Slots() - k.unit) / unitPart
+	if k.unit == 0 {
+		k.unit = t.Order().Room().Slots()
+	}
 	t.Start(slot, now)
 	k.started++
 	left := t.Order().Budget() - now.Sub(t.TakenAt())
@@ -502,6 +516,7 @@
 		k.returnWaiting(t, hibiscusstate.RejectionWaitedOut)
 	}
 	k.stopOrphans(now)
+	k.tellLoad(now)
 	k.tasks.Evict(now)
 	k.flush()
 	for entry, c := range k.entries {
@@ -534,6 +549,9 @@
 // NextTick returns when Tick has something to do.
 func (k *SlotKeeper) NextTick(now time.Time) time.Time {
 	next := now.Add(time.Second)
+	if due := k.nextLoad(); !due.IsZero() && due.Before(next) {
+		next = due
+	}
 	for _, c := range k.entries {
 		if due := c.lostAt.Add(orphanLimit); !c.connected && c.tasks > 0 && due.After(now) && due.Before(next) {
 			next = due
@@ -559,15 +577,13 @@
 
 // flush sends the collected reports, with the load as it is after all of them.
 func (k *SlotKeeper) flush() {
-	total := 0
-	for _, c := range k.entries {
-		total += c.slots
-	}
+	total := k.takenSlots()
 	for entry, reports := range k.outbox {
 		c := k.client(entry)
 		for i := range reports {
 			reports[i] = reports[i].WithLoad(total-c.slots, len(k.waiting), c.lease)
 		}
+		c.told = NewLoad(total-c.slots, len(k.waiting))
 		k.send(entry, NewReportsMessage(reports))
 		delete(k.outbox, entry)
 	}
--- a/hibiscusprocess/pause_test.go
+++ b/hibiscusprocess/pause_test.go
@@ -79,7 +79,7 @@
 	p.must(os.WriteFile(settings, fmt.Appendf(nil, "caller_address: %s\nsession_address: %s\nfailure_domain: a\nshared_key: %s\n",
 		p.callers, p.sessions, testSecret), 0o600))
 	p.cmd = exec.Command(binary, "entry", "--settings", settings)
-	log, err := p.cmd.StderrPipe()
+	log, err := p.cmd.StdoutPipe()
 	p.must(err)
 	p.must(p.cmd.Start())
 	t.Cleanup(func() {
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -112,6 +112,8 @@
 		b.Capacity = capacityOut(m.Capacity())
 	case hibiscuscoordination.MessageInForce:
 		b.InForce = hibiscuswire.InForce_builder{Version: m.Version()}.Build()
+	case hibiscuscoordination.MessageLoad:
+		b.Load = hibiscuswire.Load_builder{Others: int32(m.Load().Others()), Waiting: int32(m.Load().Waiting())}.Build()
 	}
 	return b.Build()
 }
@@ -151,6 +153,9 @@
 		m = hibiscuscoordination.NewCapacityMessage(in.capacity(f.GetCapacity()))
 	case hibiscuswire.Frame_InForce_case:
 		m = hibiscuscoordination.NewInForceMessage(f.GetInForce().GetVersion())
+	case hibiscuswire.Frame_Load_case:
+		m = hibiscuscoordination.NewLoadMessage(hibiscuscoordination.NewLoad(
+			in.count("others", f.GetLoad().GetOthers()), in.count("waiting", f.GetLoad().GetWaiting())))
 	case hibiscuswire.Frame_Body_not_set_case:
 		in.fail("frame has no body")
 	default:
@@ -203,7 +208,7 @@
 		out[i] = hibiscuswire.Order_builder{
 			Try: tryOut(o.Try()), Count: int32(o.Count()), Digest: o.Digest(), Kind: o.Kind(), Payload: o.Payload(),
 			BudgetUs: o.Budget().Microseconds(), Lease: o.Lease(), WaitLimitUs: o.WaitLimit().Microseconds(),
-			Room: roomOut(o.Room()), JobName: o.JobName(),
+			Room: roomOut(o.Room()), JobName: o.JobName(), ExpectedUs: o.Expected().Microseconds(),
 		}.Build()
 	}
 	return hibiscuswire.Orders_builder{Orders: out}.Build()
@@ -345,7 +350,7 @@
 	for i, o := range orders {
 		out[i] = hibiscusstate.NewOrder(in.try(o.GetTry()), in.count("task count", o.GetCount()), o.GetDigest(), o.GetKind(), o.GetPayload()).
 			WithBudget(microseconds(o.GetBudgetUs())).WithLease(o.GetLease()).WithWait(microseconds(o.GetWaitLimitUs())).
-			WithRoom(in.room(o.GetRoom())).WithJobName(o.GetJobName())
+			WithRoom(in.room(o.GetRoom())).WithJobName(o.GetJobName()).WithExpected(microseconds(o.GetExpectedUs()))
 	}
 	return out
 }
@@ -367,7 +372,7 @@
 	case hibiscusstate.StatusRejected:
 		return hibiscusstate.NewRejection(try, enum(in, "rejection", r.GetRejection(), hibiscusstate.RejectionStopped))
 	case hibiscusstate.StatusDone:
-		outcome := enum(in, "outcome", r.GetOutcome(), hibiscusstate.OutcomeLost)
+		outcome := enum(in, "outcome", r.GetOutcome(), hibiscusstate.OutcomeStalled)
 		return hibiscusstate.NewResult(try, outcome, r.GetOutput(), r.GetReason(), microseconds(r.GetRunTimeUs()))
 	case hibiscusstate.StatusNeverReceived, hibiscusstate.StatusWaiting, hibiscusstate.StatusRunning:
 		return hibiscusstate.NewStatusReport(try, status)
@@ -401,7 +406,7 @@
 	} else {
 		tasks := make([]hibiscuscoordination.TaskAnswer, len(f.GetTasks()))
 		for i, t := range f.GetTasks() {
-			outcome := enum(in, "outcome", t.GetOutcome(), hibiscusstate.OutcomeLost)
+			outcome := enum(in, "outcome", t.GetOutcome(), hibiscusstate.OutcomeStalled)
 			tasks[i] = hibiscuscoordination.NewTaskAnswer(outcome, t.GetOutput(), t.GetReason())
 		}
 		a = hibiscuscoordination.NewJobAnswer(key, enum(in, "job state", f.GetState(), hibiscusstate.JobCancelled), tasks)
--- a/hibiscusprotocol/metrics.go
+++ b/hibiscusprotocol/metrics.go
@@ -154,7 +154,7 @@
 	setUint(vars, "forwards_open", uint64(s.Forwards()))
 	setUint(vars, "recoveries_open", uint64(s.Recoveries()))
 	setCounts(vars, "jobs_ended", hibiscusstate.JobComplete, hibiscusstate.JobCancelled, c.JobState)
-	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeLost, c.Outcome)
+	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStalled, c.Outcome)
 	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, c.Rejection)
 	setRing(vars, "duty_ring", s.Ring())
 	byService := new(expvar.Map).Init()
@@ -177,7 +177,7 @@
 	setUint(vars, "task_bytes", uint64(s.Bytes()))
 	vars.Set("leaving", expvar.Func(func() any { return s.Leaving() }))
 	vars.Set("drained", expvar.Func(func() any { return s.Drained() }))
-	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeLost, s.Outcome)
+	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStalled, s.Outcome)
 	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, s.Rejection)
 	setRing(vars, "duty_ring", s.Ring())
 }
--- a/hibiscusstate/enum.go
+++ b/hibiscusstate/enum.go
@@ -5,7 +5,8 @@
 // Outcome says what is known about one task.
 type Outcome int
 
-// The outcomes of a task. A lost task was started, and its run has ended for certain without a result.
+// The outcomes of a task. A lost task was started, and its run has ended for certain without a
+// result; a stalled one was stopped because it made no progress.
 const (
 	OutcomePending    Outcome = iota // pending
 	OutcomeFinished                  // finished
@@ -14,6 +15,7 @@
 	OutcomeMayHaveRun                // may_have_run
 	OutcomeStopped                   // stopped
 	OutcomeLost                      // lost
+	OutcomeStalled                   // stalled
 )
 
 // JobState says how far a job is.
--- a/hibiscusstate/enum_string.go
+++ b/hibiscusstate/enum_string.go
@@ -15,11 +15,12 @@
 	_ = x[OutcomeMayHaveRun-4]
 	_ = x[OutcomeStopped-5]
 	_ = x[OutcomeLost-6]
+	_ = x[OutcomeStalled-7]
 }
 
-const _Outcome_name = "pendingfinishedfailednot_runmay_have_runstoppedlost"
+const _Outcome_name = "pendingfinishedfailednot_runmay_have_runstoppedloststalled"
 
-var _Outcome_index = [...]uint8{0, 7, 15, 21, 28, 40, 47, 51}
+var _Outcome_index = [...]uint8{0, 7, 15, 21, 28, 40, 47, 51, 58}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -185,6 +185,7 @@
 	name        string
 	attempts    int
 	latest      time.Time
+	late        bool
 	pending     int
 	unfinished  int
 	cancelled   bool
@@ -256,6 +257,14 @@
 // SetLatest sets the time after which an answer is of no use to the caller.
 func (j *Job) SetLatest(latest time.Time) { j.latest = latest }
 
+// missesObjective says whether a job with an objective can't be in time when its task t is started now.
+func (j *Job) missesObjective(now time.Time, t *Task) bool {
+	return !j.latest.IsZero() && now.Add(t.expected).After(j.due)
+}
+
+// Late says whether the job can't be in time any more.
+func (j *Job) Late() bool { return j.late }
+
 // Latest returns the time after which an answer is of no use to the caller: the deadline unless SetLatest brought it forward.
 func (j *Job) Latest() time.Time {
 	if j.latest.IsZero() || j.deadline.Before(j.latest) {
--- a/hibiscusstate/order.go
+++ b/hibiscusstate/order.go
@@ -28,6 +28,7 @@
 	budget    time.Duration
 	lease     uint64
 	room      Room
+	expected  time.Duration
 	jobName   string
 	mayWait   bool
 	waitLimit time.Duration
@@ -50,6 +51,15 @@
 	return o
 }
 
+// WithExpected returns the order with the predicted run time of the task.
+func (o Order) WithExpected(expected time.Duration) Order {
+	o.expected = expected
+	return o
+}
+
+// Expected returns the predicted run time of the task, zero for none.
+func (o Order) Expected() time.Duration { return o.expected }
+
 // JobName returns the name that the client gave to the job, empty for none.
 func (o Order) JobName() string { return o.jobName }
 
--- a/hibiscusstate/queue.go
+++ b/hibiscusstate/queue.go
@@ -13,6 +13,9 @@
 // so an unused share is lent to the others and taken back with the next task of its owner. Within a team the earliest
 // due time goes first (Job.Due), in two classes: when long work holds its cap of slots, only the short class is served.
 //
+// While more work comes than can be done in time, the earliest due time first would make every job late: each is served just
+// after its time. So a job with an objective that can't be met any more yields to all jobs whose objective can.
+//
 // Cancelled tasks stay in the heaps and are skipped when they reach the head, so a wave of cancellations scans nothing.
 type FairQueue struct {
 	teams   map[string]*teamQueue
@@ -27,7 +30,7 @@
 	name    string
 	share   int
 	virtual time.Duration
-	classes [2]taskHeap
+	classes [classCount]taskHeap
 	waiting int
 	work    time.Duration
 	active  bool
@@ -36,6 +39,9 @@
 const (
 	classShort = 0
 	classLong  = 1
+	// classLate holds the tasks of jobs that can't be in time any more.
+	classLate  = 2
+	classCount = 3
 
 	// forgottenSlack is the number of forgotten tasks below which compacting is not worth a pass over the heap.
 	forgottenSlack = 1024
@@ -89,11 +95,7 @@
 // Push adds a task that is in PhaseQueued.
 func (q *FairQueue) Push(t *Task) {
 	team := q.team(t.job.team)
-	class := classShort
-	if t.long {
-		class = classLong
-	}
-	heap.Push(&team.classes[class], t)
+	heap.Push(&team.classes[team.classOf(t)], t)
 	team.waiting++
 	team.work += t.Work()
 	q.waiting++
@@ -112,7 +114,7 @@
 func (q *FairQueue) Forget(t *Task) {
 	team := q.team(t.job.team)
 	q.uncount(team, t)
-	if team.classes[classShort].Len()+team.classes[classLong].Len() > 2*team.waiting+forgottenSlack {
+	if team.held() > 2*team.waiting+forgottenSlack {
 		team.compact()
 	}
 }
@@ -130,19 +132,20 @@
 func (q *FairQueue) Held() int {
 	n := 0
 	for _, t := range q.teams {
-		n += t.classes[classShort].Len() + t.classes[classLong].Len()
+		n += t.held()
 	}
 	return n
 }
 
-// Pop takes the next task, without long ones unless allowLong; it returns nil when there is none.
-func (q *FairQueue) Pop(allowLong bool) *Task {
+// Pop takes the next task at now, without long ones unless allowLong; it returns nil when there is none.
+func (q *FairQueue) Pop(now time.Time, allowLong bool) *Task {
 	var best *teamQueue
 	var bestTask *Task
 	for i := 0; i < len(q.active); {
 		team := q.active[i]
+		team.setLateAside(now)
 		head := team.head(allowLong)
-		if head == nil && team.classes[classShort].Len()+team.classes[classLong].Len() == 0 {
+		if head == nil && team.held() == 0 {
 			team.active = false
 			last := len(q.active) - 1
 			q.active[i] = q.active[last]
@@ -158,11 +161,7 @@
 	if best == nil {
 		return nil
 	}
-	class := classShort
-	if bestTask.long {
-		class = classLong
-	}
-	heap.Pop(&best.classes[class])
+	heap.Pop(&best.classes[best.classOf(bestTask)])
 	q.uncount(best, bestTask)
 	q.virtual = best.virtual
 	best.virtual += bestTask.Work() / time.Duration(best.share)
@@ -186,17 +185,53 @@
 	return t
 }
 
+// classOf returns the class that a task waits in.
+func (t *teamQueue) classOf(task *Task) int {
+	switch {
+	case task.job.late:
+		return classLate
+	case task.long:
+		return classLong
+	default:
+		return classShort
+	}
+}
+
+// held returns the number of tasks that the heaps hold, the forgotten ones included.
+func (t *teamQueue) held() int {
+	n := 0
+	for i := range t.classes {
+		n += t.classes[i].Len()
+	}
+	return n
+}
+
+// setLateAside moves the tasks at the heads whose job can't meet its objective any more into the class of late ones.
+func (t *teamQueue) setLateAside(now time.Time) {
+	for class := classShort; class <= classLong; class++ {
+		for head := t.classes[class].peek(); head != nil; head = t.classes[class].peek() {
+			if !head.job.late && !head.job.missesObjective(now, head) {
+				break
+			}
+			heap.Pop(&t.classes[class])
+			head.job.late = true
+			heap.Push(&t.classes[classLate], head)
+		}
+	}
+}
+
 // head returns the task of the team that is due first, and drops the tasks that were cancelled while they waited.
 func (t *teamQueue) head(allowLong bool) *Task {
-	short := t.classes[classShort].peek()
-	if !allowLong {
-		return short
+	next := t.classes[classShort].peek()
+	if allowLong {
+		if long := t.classes[classLong].peek(); next == nil || (long != nil && dueBefore(long, next)) {
+			next = long
+		}
 	}
-	long := t.classes[classLong].peek()
-	if short == nil || (long != nil && dueBefore(long, short)) {
-		return long
+	if next == nil {
+		next = t.classes[classLate].peek()
 	}
-	return short
+	return next
 }
 
 type taskHeap []*Task
--- a/hibiscusstate/queue_test.go
+++ b/hibiscusstate/queue_test.go
@@ -27,7 +27,7 @@
 		most = max(most, q.Held())
 	}
 	popped := []*Task{}
-	for task := q.Pop(true); task != nil; task = q.Pop(true) {
+	for task := q.Pop(time.Time{}, true); task != nil; task = q.Pop(time.Time{}, true) {
 		popped = append(popped, task)
 	}
 	convey.Convey("the heaps stay small and the other tasks come out in order", t, func() {
@@ -65,7 +65,7 @@
 	pop := func(n int) map[string]int {
 		counts := map[string]int{}
 		for range n {
-			counts[q.Pop(true).Job().Team()]++
+			counts[q.Pop(time.Time{}, true).Job().Team()]++
 		}
 		return counts
 	}
--- a/hibiscustransport/connector.go
+++ b/hibiscustransport/connector.go
@@ -17,6 +17,13 @@
 const (
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
+	// earlyBackoff bounds the pause within earlyTime after a session was lost: when a whole site restarts, its processes come up
+	// within a second of each other, and nothing is served before the sessions are open.
+	earlyBackoff = 100 * time.Millisecond
+	earlyTime    = 3 * time.Second
+	// sessionDialTimeout bounds the set-up of a connection. A host that is still down drops the first packet, and the next one
+	// would be sent a second later.
+	sessionDialTimeout = 300 * time.Millisecond
 	// reconcileEvery is how often the wanted addresses are looked at.
 	reconcileEvery = 250 * time.Millisecond
 )
@@ -99,6 +106,7 @@
 // keepSession is the duty of one wanted address: it opens a session again whenever the last one ended.
 func (c *Connector) keepSession(ctx context.Context, address string) {
 	backoff := firstBackoff
+	lostAt := time.Now()
 	for tries := 0; ctx.Err() == nil; tries++ {
 		began := time.Now()
 		if tries > 0 {
@@ -107,6 +115,10 @@
 		err := c.dial(ctx, address)
 		if time.Since(began) > maxBackoff {
 			backoff = firstBackoff
+			lostAt = time.Now()
+		}
+		if time.Since(lostAt) < earlyTime {
+			backoff = min(backoff, earlyBackoff)
 		}
 		c.log.Debug("session: ended", "address", address, "cause", err.Error())
 		select {
@@ -118,7 +130,9 @@
 }
 
 func (c *Connector) dial(ctx context.Context, address string) error {
-	conn, err := c.network.Dial(ctx, address)
+	dialCtx, cancel := context.WithTimeout(ctx, sessionDialTimeout)
+	conn, err := c.network.Dial(dialCtx, address)
+	cancel()
 	if err != nil {
 		return errors.Mark(err, ErrSession)
 	}
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -255,7 +255,8 @@
 	if st.ring.TryPush(m) {
 		return true
 	}
-	if m.Kind() != hibiscuscoordination.MessageOrders && m.Kind() != hibiscuscoordination.MessagePing {
+	if m.Kind() != hibiscuscoordination.MessageOrders && m.Kind() != hibiscuscoordination.MessagePing &&
+		m.Kind() != hibiscuscoordination.MessageLoad {
 		select {
 		case s.overflow <- m.Kind():
 		default:
@@ -272,7 +273,7 @@
 	case hibiscuscoordination.MessageHello, hibiscuscoordination.MessagePing, hibiscuscoordination.MessagePong,
 		hibiscuscoordination.MessageSettle, hibiscuscoordination.MessageRecover, hibiscuscoordination.MessageRecovered,
 		hibiscuscoordination.MessageConfiguration, hibiscuscoordination.MessageMembers, hibiscuscoordination.MessageCapacity,
-		hibiscuscoordination.MessageInForce:
+		hibiscuscoordination.MessageInForce, hibiscuscoordination.MessageLoad:
 		return false
 	}
 	return false
