Log each decision about a job, with histograms of the times

Cause: a failed request's id led from the callers' line to nothing: why a job waited, which worker had its tasks and what the entry believed of that worker were in no log.

Change: one line at the admission of a job with what was known, one at its end with all placements (index@worker+ms/free slots/age of the view), one for each task that comes back or runs again, and at agents one for each rejected order and each ended task. Histograms job_ms and place_ms at entries, wait_ms and run_ms at agents.

--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -53,6 +53,7 @@
 		log:      log,
 	}
 	a.keeper = NewSlotKeeper(identity.incarnation, NewSlotKeeperSeams(a.sendToEntry, a.runOnSlot, a.stopSlot))
+	a.keeper.LogTo(log)
 	a.duty = newDuty(a.afterBatch, a.nextWake)
 	return a
 }
--- a/hibiscuscoordination/agent_snapshot.go
+++ b/hibiscuscoordination/agent_snapshot.go
@@ -26,8 +26,16 @@
 	outcomes   [hibiscusstate.OutcomeStalled + 1]uint64
 	rejections [hibiscusstate.RejectionStopped + 1]uint64
 	ring       RingSnapshot
+	waitTimes  hibiscusstate.Histogram
+	runTimes   hibiscusstate.Histogram
 }
 
+// WaitTimes returns how long tasks waited at the agent before they were started.
+func (s *AgentSnapshot) WaitTimes() hibiscusstate.Histogram { return s.waitTimes }
+
+// RunTimes returns how long the endpoint had tasks.
+func (s *AgentSnapshot) RunTimes() hibiscusstate.Histogram { return s.runTimes }
+
 // Snapshot returns the state of the agent, or ErrStopped.
 func (a *Agent) Snapshot() (*AgentSnapshot, error) {
 	return ask(a.duty, func(time.Time) *AgentSnapshot {
@@ -36,7 +44,7 @@
 			version: a.version(), service: k.service, slots: k.limit.Slots(), running: k.Running(), waiting: k.Waiting(),
 			leaving: k.leaving, drained: k.drained, started: k.started, duplicates: k.duplicates, leases: k.leases,
 			messages: k.messages, records: k.tasks.Len(), bytes: k.tasks.Bytes(), outcomes: k.outcomes, rejections: k.rejections,
-			ring: a.duty.snapshot(),
+			ring: a.duty.snapshot(), waitTimes: k.waitTimes, runTimes: k.runTimes,
 		}
 	})
 }
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,6 +64,9 @@
 	dirty         []*assignment
 	configuration *hibiscusstate.Configuration
 	entries       []hibiscusstate.Incarnation
+	log           *slog.Logger
+	jobTimes      hibiscusstate.Histogram
+	placeTimes    hibiscusstate.Histogram
 	draining      bool
 	startedAt     time.Time
 	nextTick      time.Time
@@ -78,6 +82,8 @@
 	waiters []func(*Answer)
 	index   int
 	overdue bool
+	// placements says which task went when to which worker, for the log line at the end of the job.
+	placements []byte
 	// callers are the connections that wait for a named job, and next the submissions of its name that came after its
 	// cancellation; they start when its last run has ended.
 	callers []uint64
@@ -148,11 +154,15 @@
 		workers:     map[hibiscusstate.Incarnation]*assignment{},
 		entries:     []hibiscusstate.Incarnation{incarnation},
 		jitter:      seams.jitter,
+		log:         slog.New(slog.DiscardHandler),
 		send:        seams.send,
 		event:       seams.event,
 	}
 }
 
+// LogTo makes the Dispatcher log each decision that touches a job.
+func (d *Dispatcher) LogTo(log *slog.Logger) { d.log = log }
+
 // Counters returns the running totals of this entry.
 func (d *Dispatcher) Counters() Counters { return d.counters }
 
@@ -258,6 +268,7 @@
 	if s.name != "" {
 		d.nameJob(r, s)
 	}
+	d.logAdmitted(r)
 	d.bytes += job.Bytes()
 	heap.Push(&d.deadlines, r)
 	d.counters.jobs++
@@ -341,6 +352,7 @@
 			d.resolve(now, a, t, hibiscusstate.OutcomeNotRun, nil, "another entry has answered for the job", 0)
 			return
 		}
+		d.logReturned(a, t, r)
 		d.avoid(now, a.worker, r)
 		busy := r.Rejection() == hibiscusstate.RejectionNoFreeSlot || r.Rejection() == hibiscusstate.RejectionWaitedOut
 		d.comeBack(now, a, t, busy, "no worker took the task: "+r.Rejection().String())
@@ -432,6 +444,7 @@
 	heap.Remove(&d.deadlines, r.index)
 	d.finished.PushBack(r)
 	d.counters.countJob(r.job)
+	d.logEnded(now, r)
 	d.pool(r.job.Service()).totals.countJob(r.job)
 	answer := d.answer(r.job)
 	for _, reply := range r.waiters {
--- /dev/null
+++ b/hibiscuscoordination/dispatcher_log.go
@@ -0,0 +1,85 @@
+package hibiscuscoordination
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"hibiscusrouter/hibiscusstate"
+)
+
+// The log lines of an entry's decisions about jobs. A line at the admission says what was known then. Placements are collected
+// and written with the end of the job, because a job of many tasks would otherwise take a line for each; a task that comes back
+// has a line of its own.
+
+// maxPlacements bounds the bytes of placements in a line.
+const maxPlacements = 1024
+
+// logAdmitted says what was known when a job was taken.
+func (d *Dispatcher) logAdmitted(r *jobRecord) {
+	p := d.pool(r.job.Service())
+	d.log.Info("entry: job admitted", "job", nameOf(r.job), "kind", r.job.Task(0).Kind(), "tasks", r.job.Len(),
+		"version", d.configuration.Version(), "waiting", p.queue.Len(), "waiting_slots", p.queue.Slots(), "live_slots", p.live)
+}
+
+// logPlaced notes a placement: index, worker, milliseconds since the submission, free slots in the entry's view, and the age of
+// that view in milliseconds.
+func (d *Dispatcher) logPlaced(now time.Time, a *assignment, t *hibiscusstate.Task) {
+	if t.Moves() == 0 {
+		d.placeTimes.Observe(now.Sub(t.Job().SubmittedAt()))
+	}
+	r := d.jobs[t.Job().Key()]
+	if r == nil || len(r.placements) >= maxPlacements {
+		return
+	}
+	b := r.placements
+	if len(b) > 0 {
+		b = append(b, ' ')
+	}
+	b = strconv.AppendInt(b, int64(t.ID().Index()), 10)
+	b = append(append(append(b, '@'), a.worker.Address()...), '+')
+	b = strconv.AppendInt(b, now.Sub(t.Job().SubmittedAt()).Milliseconds(), 10)
+	b = strconv.AppendInt(append(b, '/'), int64(a.worker.Free()), 10)
+	age := int64(-1)
+	if !a.worker.ReportedAt().IsZero() {
+		age = now.Sub(a.worker.ReportedAt()).Milliseconds()
+	}
+	r.placements = strconv.AppendInt(append(b, '/'), age, 10)
+}
+
+// logReturned says that an agent did not run a task.
+func (d *Dispatcher) logReturned(a *assignment, t *hibiscusstate.Task, r *hibiscusstate.Report) {
+	d.log.Info("entry: task came back", "job", nameOf(t.Job()), "index", t.ID().Index(), "try", t.Moves(),
+		"worker", a.worker.Address(), "rejection", r.Rejection().String(), "others", r.Others())
+}
+
+// logAgain says that a run ended without a result and the task waits again.
+func (d *Dispatcher) logAgain(a *assignment, t *hibiscusstate.Task, r *hibiscusstate.Report) {
+	d.log.Info("entry: task runs again", "job", nameOf(t.Job()), "index", t.ID().Index(), "try", t.Moves(),
+		"worker", a.worker.Address(), "outcome", r.Outcome().String(), "reason", r.Reason(), "failures", t.Failures())
+}
+
+// logEnded says how a job ended, and which task of it did not finish.
+func (d *Dispatcher) logEnded(now time.Time, r *jobRecord) {
+	took := now.Sub(r.job.SubmittedAt())
+	d.jobTimes.Observe(took)
+	attributes := []any{
+		"job", nameOf(r.job), "state", r.job.State().String(), "took_ms", took.Milliseconds(), "late", r.job.Late(),
+		"placed", string(r.placements),
+	}
+	for i := range r.job.Len() {
+		if t := r.job.Task(i); t.Outcome() != hibiscusstate.OutcomeFinished {
+			attributes = append(attributes, "unfinished", i, "outcome", t.Outcome().String(), "reason", t.Reason())
+			break
+		}
+	}
+	d.log.Info("entry: job ended", attributes...)
+}
+
+// nameOf returns what names a job in the log: the client's name, or the submission key.
+func nameOf(job *hibiscusstate.Job) slog.Value {
+	if job.Name() != "" {
+		return slog.StringValue(job.Name())
+	}
+	return slog.StringValue(job.Key().Incarnation().String() + "-" + strconv.FormatUint(job.Key().Sequence(), 16))
+}
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -80,6 +80,7 @@
 		log:        log,
 	}
 	e.dispatcher = NewDispatcher(identity.incarnation, NewDispatcherSeams(e.sendToAgent, event, randomPart))
+	e.dispatcher.LogTo(log)
 	e.duty = newDuty(e.afterBatch, e.nextWake)
 	return e
 }
--- a/hibiscuscoordination/named.go
+++ b/hibiscuscoordination/named.go
@@ -89,6 +89,7 @@
 	if job.Cancelled() || job.Unfinished() > 0 || !now.Before(job.Latest()) || failed && t.Failures()+1 >= job.Attempts() {
 		return false
 	}
+	d.logAgain(a, t, r)
 	d.release(a, t)
 	d.counters.moves++
 	t.MarkEnded(failed)
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -115,6 +115,7 @@
 		WithBudget(job.Deadline().Sub(now)).WithLease(a.worker.Lease()).WithWait(wait).
 		WithRoom(t.Room()).WithJobName(job.Name()).WithExpected(t.Expected())
 	a.orders = append(a.orders, order)
+	d.logPlaced(now, a, t)
 	a.tasks[t.ID()] = t
 	t.MarkSent(a.worker.ID(), now)
 	a.worker.Add(t)
--- a/hibiscuscoordination/slot_keeper.go
+++ b/hibiscuscoordination/slot_keeper.go
@@ -1,6 +1,7 @@
 package hibiscuscoordination
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -47,6 +48,9 @@
 	send       func(entry hibiscusstate.Incarnation, m Message) bool
 	run        func(slot int, order hibiscusstate.Order)
 	stop       func(slot int, try hibiscusstate.TaskTry)
+	log        *slog.Logger
+	waitTimes  hibiscusstate.Histogram
+	runTimes   hibiscusstate.Histogram
 	started    uint64
 	duplicates uint64
 	leases     uint64
@@ -105,12 +109,16 @@
 		settled:     hibiscusstate.NewBoundedSet[hibiscusstate.TaskTry](maxTombstones),
 		watchers:    map[hibiscusstate.SubmissionKey][]watcher{},
 		outbox:      map[hibiscusstate.Incarnation][]hibiscusstate.Report{},
+		log:         slog.New(slog.DiscardHandler),
 		send:        seams.send,
 		run:         seams.run,
 		stop:        seams.stop,
 	}
 }
 
+// LogTo makes the SlotKeeper log each decision that touches a task.
+func (k *SlotKeeper) LogTo(log *slog.Logger) { k.log = log }
+
 // Running returns the number of tasks that the endpoint has.
 func (k *SlotKeeper) Running() int {
 	n := 0
@@ -244,6 +252,9 @@
 func (k *SlotKeeper) Orders(now time.Time, entry hibiscusstate.Incarnation, orders []hibiscusstate.Order) {
 	for _, order := range orders {
 		if rejection := k.take(now, entry, order); rejection != hibiscusstate.RejectionNone {
+			k.log.Info("agent: order rejected", "job", order.JobName(), "index", order.ID().Index(), "try", order.Try().Number(),
+				"entry", entry.String(), "rejection", rejection.String(), "needs", order.Room().Slots(), "used", k.used.Slots(),
+				"room", k.limit.Slots(), "waiting", len(k.waiting))
 			k.reject(entry, order.Try(), rejection)
 		}
 	}
@@ -331,6 +342,7 @@
 		k.unit = t.Order().Room().Slots()
 	}
 	t.Start(slot, now)
+	k.waitTimes.Observe(now.Sub(t.TakenAt()))
 	k.started++
 	left := t.Order().Budget() - now.Sub(t.TakenAt())
 	k.run(slot, t.Order().WithBudget(left))
@@ -342,6 +354,11 @@
 	k.slots[slot] = nil
 	k.used = k.used.Sub(t.Order().Room())
 	k.leave(t)
+	k.runTimes.Observe(now.Sub(t.StartedAt()))
+	k.log.Info("agent: task ended", "job", t.Order().JobName(), "index", t.Order().ID().Index(), "try", t.Order().Try().Number(),
+		"entry", t.Entry().String(), "outcome", result.outcome.String(), "rejection", result.rejection.String(),
+		"waited_ms", t.StartedAt().Sub(t.TakenAt()).Milliseconds(), "ran_ms", now.Sub(t.StartedAt()).Milliseconds(),
+		"used", k.used.Slots(), "room", k.limit.Slots())
 	if result.rejection != hibiscusstate.RejectionNone {
 		k.tasks.Drop(t)
 		k.reject(t.Entry(), t.Order().Try(), result.rejection)
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -198,8 +198,16 @@
 	recoveries int
 	counters   Counters
 	ring       RingSnapshot
+	jobTimes   hibiscusstate.Histogram
+	placeTimes hibiscusstate.Histogram
 }
 
+// JobTimes returns how long jobs took from their admission to their end.
+func (s *EntrySnapshot) JobTimes() hibiscusstate.Histogram { return s.jobTimes }
+
+// PlaceTimes returns how long tasks waited until they were given to a worker for the first time.
+func (s *EntrySnapshot) PlaceTimes() hibiscusstate.Histogram { return s.placeTimes }
+
 // Identity returns the incarnation, address and failure domain of the entry.
 func (s *EntrySnapshot) Identity() Identity { return s.identity }
 
@@ -241,6 +249,7 @@
 			identity: e.identity, version: e.version(), configured: d.Configuration() != nil, draining: d.draining,
 			running: len(d.deadlines), records: len(d.jobs), bytes: d.bytes,
 			forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters, ring: e.duty.snapshot(),
+			jobTimes: d.jobTimes, placeTimes: d.placeTimes,
 		}
 	})
 }
--- a/hibiscusprotocol/metrics.go
+++ b/hibiscusprotocol/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"runtime"
 	"runtime/metrics"
+	"strconv"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -156,6 +158,8 @@
 	setCounts(vars, "jobs_ended", hibiscusstate.JobComplete, hibiscusstate.JobCancelled, c.JobState)
 	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStalled, c.Outcome)
 	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, c.Rejection)
+	setHistogram(vars, "job_ms", s.JobTimes())
+	setHistogram(vars, "place_ms", s.PlaceTimes())
 	setRing(vars, "duty_ring", s.Ring())
 	byService := new(expvar.Map).Init()
 	vars.Set("services", byService)
@@ -179,6 +183,8 @@
 	vars.Set("drained", expvar.Func(func() any { return s.Drained() }))
 	setCounts(vars, "outcomes", hibiscusstate.OutcomeFinished, hibiscusstate.OutcomeStalled, s.Outcome)
 	setCounts(vars, "rejections", hibiscusstate.RejectionNoFreeSlot, hibiscusstate.RejectionStopped, s.Rejection)
+	setHistogram(vars, "wait_ms", s.WaitTimes())
+	setHistogram(vars, "run_ms", s.RunTimes())
 	setRing(vars, "duty_ring", s.Ring())
 }
 
@@ -214,6 +220,20 @@
 	vars.Set(name, counts)
 }
 
+// setHistogram sets a map with the count of each bucket under its upper bound in milliseconds, and their sum.
+func setHistogram(vars *expvar.Map, name string, h hibiscusstate.Histogram) {
+	buckets := new(expvar.Map).Init()
+	h.Buckets(func(bound time.Duration, count uint64) {
+		label := "more"
+		if bound > 0 {
+			label = strconv.FormatInt(bound.Milliseconds(), 10)
+		}
+		setUint(buckets, label, count)
+	})
+	setUint(buckets, "sum_ms", uint64(h.Sum().Milliseconds()))
+	vars.Set(name, buckets)
+}
+
 func setRing(vars *expvar.Map, name string, r hibiscuscoordination.RingSnapshot) {
 	ring := new(expvar.Map).Init()
 	setUint(ring, "depth", uint64(r.Depth()))
