--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -26,6 +26,8 @@
 	changedAt time.Time
 	expected  time.Duration
 	stalled   chan struct{}
+	// stopping says that the runner was told.
+	stopping bool
 }
 
 // Execute runs one task and returns its result; it is called by the runner of a slot.
@@ -75,6 +77,7 @@
 			id: id, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1), expected: order.Expected(), beganAt: now, changedAt: now,
 		}
 		w.runs[id] = run
+		w.largest = max(w.largest, order.Room().Slots())
 		return startPlan{run: run, life: w.life, request: StartRequest{run: id, payload: order.Payload(), until: w.renew(now)}}
 	})
 	if err == nil && plan.run == nil {
@@ -164,21 +167,21 @@
 	return NewRunResult(hibiscusstate.OutcomeMayHaveRun, nil, "unknown end")
 }
 
-// observe takes the percentage of a run's work that is done, and reports a run that stands still.
-func (r *leasedRun) observe(now time.Time, percent int) {
+// observe takes the percentage of a run's work that is done. It reports a run that stands still to its runner, and says whether
+// it has just done so.
+func (r *leasedRun) observe(now time.Time, percent int) bool {
 	if percent != r.percent {
 		r.percent, r.changedAt = percent, now
-		return
+		return false
 	}
 	limit := max(stallTime, r.expected/firstStallPart)
 	if percent > 0 {
 		limit = max(stallTime, stallParts*r.changedAt.Sub(r.beganAt)/time.Duration(percent))
 	}
-	if now.Sub(r.changedAt) < limit {
-		return
-	}
-	select {
-	case r.stalled <- struct{}{}:
-	default:
+	if now.Sub(r.changedAt) < limit || r.stopping {
+		return false
 	}
+	r.stopping = true
+	r.stalled <- struct{}{}
+	return true
 }
--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -28,9 +28,9 @@
 	// leaseSlack is how much longer than its lease a run may go on: the endpoint's clock may be 2% slow, and a kill takes 50 ms.
 	leaseSlack = 100 * time.Millisecond
 	// busyLook and idleLook are how long an endpoint may hold back its answer to a look while it runs something, and otherwise.
-	// A run whose start carried its own lease is renewed by a look that begins at most idleLook later.
-	busyLook = 300 * time.Millisecond
-	idleLook = 600 * time.Millisecond
+	// A run whose start carried its own lease is renewed by a look that begins at most idleLook later, and is not listed before.
+	busyLook = 150 * time.Millisecond
+	idleLook = 200 * time.Millisecond
 	// callTimeout bounds a request to the endpoint beside the agent, which answers within a millisecond. A process whose
 	// processor time is a quota may stand still for 76 ms.
 	callTimeout = 150 * time.Millisecond
@@ -44,9 +44,16 @@
 	// stallTime, stallParts and firstStallPart say when a run stands still: its percentage does not change for stallTime, for
 	// stallParts times as long as one percent has taken so far, and before the first percent for a part of its expected time.
 	// A task of 8 s on a worker that is 6 times slower makes a percent in 0.5 s.
-	stallTime      = 300 * time.Millisecond
+	stallTime      = 250 * time.Millisecond
 	stallParts     = 5
 	firstStallPart = 10
+	// suspectStalls is how many runs in a row have to stand still for the endpoint to be suspected as a whole. A suspected one
+	// offers nothing for suspectTime, twice as long each time up to maxSuspectTime, and then a part of its room until a run is
+	// done there. The users' workers stand still for 5 to 7 s.
+	suspectStalls  = 2
+	suspectTime    = 2 * time.Second
+	maxSuspectTime = 16 * time.Second
+	suspectPart    = 8
 	// firstNumbers bounds how many numbers a start tries when the endpoint has seen higher ones.
 	firstNumbers = 12
 	// maxForgotten bounds the runs that are remembered after their end.
@@ -69,7 +76,12 @@
 	clockAt      time.Time
 	answeredAt   time.Time
 	leaseEnd     time.Time
+	// largest is the most slots that a run here has taken, so that a part of the room is enough for one.
+	largest      int
 	offered      bool
+	stalls       int
+	suspectUntil time.Time
+	suspectFor   time.Duration
 	listed       bool
 	log          *slog.Logger
 	wake         chan struct{}
@@ -110,7 +122,7 @@
 			w.report(w.seams.leave())
 		}
 		w.announcement = a
-		w.offerRoom()
+		w.offerRoom(now)
 		return true
 	})
 	if err != nil {
@@ -226,6 +238,9 @@
 		if run := w.runs[r.run]; run != nil {
 			w.end(run, r.end)
 		}
+		if r.end == EndDone {
+			w.stalls, w.suspectFor = 0, 0
+		}
 		delete(w.orphans, r.run)
 	}
 	if number < w.applied {
@@ -237,7 +252,7 @@
 		w.listed = true
 		w.log.Info("endpoint: first list is empty", "endpoint", w.life.id, "born", w.life.born)
 	}
-	w.offerRoom()
+	w.offerRoom(now)
 }
 
 // compare ends the runs that a list lacks, and stops those that nobody here has started.
@@ -246,7 +261,9 @@
 	for _, r := range running {
 		listed[r.run] = true
 		if run := w.runs[r.run]; run != nil {
-			run.observe(now, r.percent)
+			if run.observe(now, r.percent) {
+				w.suspect(now)
+			}
 		}
 		if w.runs[r.run] == nil && !w.orphans[r.run] && w.forgotten[r.run] < number {
 			w.stopOrphan(r.run)
@@ -313,17 +330,35 @@
 	w.announcement.sequence = 0
 	w.announcement.draining = false
 	w.cursor, w.clock, w.listed, w.answeredAt = 0, 0, false, now
+	w.stalls, w.suspectFor, w.suspectUntil = 0, 0, time.Time{}
 	clear(w.orphans)
 	w.withdraw()
 }
 
 // offerRoom tells the agent what the endpoint offers, when its state is known.
-func (w *LeasedWorker) offerRoom() {
-	if !w.listed || len(w.orphans) > 0 || w.announcement.draining || w.life != w.announcement.life {
+func (w *LeasedWorker) offerRoom(now time.Time) {
+	if now.Before(w.suspectUntil) || !w.listed || len(w.orphans) > 0 || w.announcement.draining || w.life != w.announcement.life {
 		return
 	}
 	w.offered = true
-	w.report(w.seams.offer(w.announcement.service, w.announcement.room))
+	room := w.announcement.room
+	if w.suspectFor > 0 {
+		room = hibiscusstate.NewRoom(max(room.Slots()/suspectPart, min(w.largest, room.Slots())), room.Memory(), room.Accelerators())
+	}
+	w.report(w.seams.offer(w.announcement.service, room))
+}
+
+// suspect counts a run that stands still. All entries learn of a suspected endpoint at once, which each for itself would find
+// out only after its own tasks had stood still there.
+func (w *LeasedWorker) suspect(now time.Time) {
+	w.stalls++
+	if w.stalls < suspectStalls || now.Before(w.suspectUntil) {
+		return
+	}
+	w.suspectFor = min(max(2*w.suspectFor, suspectTime), maxSuspectTime)
+	w.suspectUntil = now.Add(w.suspectFor)
+	w.log.Warn("endpoint: suspected, its runs stand still", "endpoint", w.life.id, "runs", w.stalls, "for_ms", w.suspectFor.Milliseconds())
+	w.withdraw()
 }
 
 // withdraw tells the agent that the endpoint takes no tasks at present.
--- a/hibiscustransport/log_writer.go
+++ b/hibiscustransport/log_writer.go
@@ -30,8 +30,10 @@
 	tokens  float64
 	filled  time.Time
 	dropped uint64
-	lost    uint64
-	done    chan struct{}
+	// reported is when the last line about drops was written, at most one a second.
+	reported time.Time
+	lost     uint64
+	done     chan struct{}
 }
 
 // NewLogWriter returns a writer whose duty writes to out until Close.
@@ -53,7 +55,8 @@
 	var report []byte
 	if taken {
 		w.tokens--
-		if w.dropped > 0 {
+		if w.dropped > 0 && now.Sub(w.reported) >= time.Second {
+			w.reported = now
 			report = fmt.Appendf(nil, "time=%s level=WARN msg=\"log: lines were dropped\" lines=%d\n", now.Format(time.RFC3339Nano), w.dropped)
 			w.dropped = 0
 		}
