Keep two looks at an endpoint open, and bound a start by the usual time to its answer

One look of 0.4 s at a time left the agent blind for a third of the time, so that ends were seen up to 0.4 s late, workers were withdrawn as silent, and room stood idle. Starts waited 150 ms for answers that come within 2 ms.

--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -35,12 +35,13 @@
 	number := order.Try().Number() + 1
 	for range firstNumbers {
 		id := NewRunID(order.JobName(), order.ID().Index(), number)
-		run, request, life, err := w.begin(id, order)
+		plan, err := w.begin(id, order)
 		if err != nil {
 			return NewNotRunResult(hibiscusstate.RejectionEndpointDown)
 		}
-		startCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		verdict, clock := w.seams.start(startCtx, life, request)
+		run, life := plan.run, plan.life
+		startCtx, cancel := context.WithTimeout(ctx, plan.timeout)
+		verdict, clock := w.seams.start(startCtx, life, plan.request)
 		cancel()
 		w.answered(run, verdict, clock)
 		switch verdict {
@@ -65,10 +66,11 @@
 	run     *leasedRun
 	request StartRequest
 	life    WorkerLife
+	timeout time.Duration
 }
 
 // begin records a run that is about to be asked for.
-func (w *LeasedWorker) begin(id RunID, order hibiscusstate.Order) (*leasedRun, StartRequest, WorkerLife, error) {
+func (w *LeasedWorker) begin(id RunID, order hibiscusstate.Order) (startPlan, error) {
 	plan, err := ask(w.duty, func(now time.Time) startPlan {
 		if w.life.id == "" || !w.listed || w.runs[id] != nil {
 			return startPlan{}
@@ -78,12 +80,13 @@
 		}
 		w.runs[id] = run
 		w.largest = max(w.largest, order.Room().Slots())
-		return startPlan{run: run, life: w.life, request: StartRequest{run: id, payload: order.Payload(), until: w.renew(now)}}
+		request := StartRequest{run: id, payload: order.Payload(), until: w.renew(now)}
+		return startPlan{run: run, life: w.life, timeout: w.startTimeout(), request: request}
 	})
 	if err == nil && plan.run == nil {
 		err = ErrEndpointGone
 	}
-	return plan.run, plan.request, plan.life, err
+	return plan, err
 }
 
 // answered records the verdict on a start. A run that has certainly not begun is forgotten.
@@ -98,6 +101,10 @@
 		switch verdict {
 		case StartTaken:
 			run.begun, run.answered, run.settled = true, true, w.looks
+			if w.startTime == 0 {
+				w.startTime = now.Sub(run.beganAt)
+			}
+			w.startTime += (now.Sub(run.beganAt) - w.startTime) / answerWeight
 		case StartUnanswered:
 		case StartOutdated, StartNoRoom, StartRefused, StartUnreachable:
 			w.log.Info("endpoint: start not taken", "job", run.id.job, "index", run.id.index, "run", run.id.number,
--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -34,8 +34,18 @@
 	// callTimeout bounds a request to the endpoint beside the agent, which answers within a millisecond. A process whose
 	// processor time is a quota may stand still for 76 ms.
 	callTimeout = 150 * time.Millisecond
+	// minStartTimeout and startFactor bound a start: it counts as unanswered after startFactor times the usual time to an answer,
+	// at least minStartTimeout and at most callTimeout. A task of 50 ms is late when one of its job's starts is waited for for
+	// 150 ms; the answer usually comes within 2 ms.
+	minStartTimeout = 25 * time.Millisecond
+	startFactor     = 10
+	// answerWeight is the part by which one answer moves the usual time.
+	answerWeight = 8
 	// lookSlack is how long an answer to a look may take beyond the time that it may be held back.
-	lookSlack = 250 * time.Millisecond
+	lookSlack = 100 * time.Millisecond
+	// lookDuties is how many looks are open at a time. While one gets no answer, the ends of runs would not be seen: with 6% of
+	// the requests unanswered, one look of 0.4 s at a time is blind for a third of the time.
+	lookDuties = 2
 	// renewWhileSilent is how long an endpoint that answers no look still has its lease renewed. After that its runs have to
 	// end, because nobody learns of their results.
 	renewWhileSilent = 600 * time.Millisecond
@@ -75,6 +85,7 @@
 	clock        int64
 	clockAt      time.Time
 	answeredAt   time.Time
+	startTime    time.Duration
 	leaseEnd     time.Time
 	// largest is the most slots that a run here has taken, so that a part of the room is enough for one.
 	largest      int
@@ -101,7 +112,11 @@
 // Run executes the duty and looks at the endpoint until ctx is done.
 func (w *LeasedWorker) Run(ctx context.Context) {
 	w.working.Go(w.duty.run)
-	w.lookLoop(ctx)
+	var looks sync.WaitGroup
+	for range lookDuties {
+		looks.Go(func() { w.lookLoop(ctx) })
+	}
+	looks.Wait()
 	w.duty.ring.Close()
 	w.working.Wait()
 }
@@ -148,7 +163,7 @@
 	})
 }
 
-// lookLoop is the looks duty.
+// lookLoop is a looks duty.
 func (w *LeasedWorker) lookLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if w.lookOnce(ctx, busyLook) {
@@ -211,6 +226,14 @@
 	return lookPlan{life: w.life, number: w.looks, request: request}
 }
 
+// startTimeout returns after how long a start counts as unanswered.
+func (w *LeasedWorker) startTimeout() time.Duration {
+	if w.startTime == 0 {
+		return callTimeout
+	}
+	return min(max(startFactor*w.startTime, minStartTimeout), callTimeout)
+}
+
 // renew returns the end of a lease that is renewed now, on the endpoint's clock, zero while that is unknown.
 func (w *LeasedWorker) renew(now time.Time) int64 {
 	if w.clock == 0 {
