--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -31,6 +31,8 @@
 	// A run whose start carried its own lease is renewed by a look that begins at most idleLook later, and is not listed before.
 	busyLook = 150 * time.Millisecond
 	idleLook = 200 * time.Millisecond
+	// orphanLook is the same while runs of an earlier agent process are being stopped, which takes 50 ms.
+	orphanLook = 50 * time.Millisecond
 	// callTimeout bounds a request to the endpoint beside the agent, which answers within a millisecond. A process whose
 	// processor time is a quota may stand still for 76 ms.
 	callTimeout = 150 * time.Millisecond
@@ -212,9 +214,11 @@
 
 func (w *LeasedWorker) planLook(now time.Time, wait time.Duration) lookPlan {
 	switch {
-	case !w.listed:
+	case !w.listed && len(w.orphans) == 0:
 		// Nothing is offered before the first list, so that it is asked for at once.
 		wait = 0
+	case !w.listed:
+		wait = min(wait, orphanLook)
 	case len(w.runs) == 0 && wait > 0:
 		wait = idleLook
 	}
