Forget named jobs when they have ended

Cause: found when reading the diff. Records of ended jobs are kept for ten minutes or 256 MB for those who ask later, and nobody asks for a named job.

Change: the record of a named job goes with its end.

Measured: go test ./hibiscuscoordination ./platform passes, no golden file changed.

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -444,7 +444,7 @@
 		return
 	}
 	heap.Remove(&d.deadlines, r.index)
-	d.finished.PushBack(r)
+	d.keepOrForget(r)
 	d.counters.countJob(r.job)
 	d.logEnded(now, r)
 	d.pool(r.job.Service()).totals.countJob(r.job)
@@ -456,6 +456,16 @@
 	d.finishNamed(now, r)
 }
 
+// keepOrForget keeps the record of a job for those who ask later. Nobody asks for a named job that has ended.
+func (d *Dispatcher) keepOrForget(r *jobRecord) {
+	if r.job.Name() == "" {
+		d.finished.PushBack(r)
+		return
+	}
+	delete(d.jobs, r.job.Key())
+	d.bytes -= r.job.Bytes()
+}
+
 // answer returns the state of a job; outcomes are told only when they are all final, so that no answer is partial.
 func (d *Dispatcher) answer(job *hibiscusstate.Job) *Answer {
 	if job.State() == hibiscusstate.JobRunning {
