--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -103,6 +103,15 @@
 	if d.pool(s.service).slots == 0 && (s.name == "" || now.Sub(d.startedAt) > startGrace) {
 		return d.refuse(s, hibiscusstate.RefusalNoWorkers, fmt.Sprintf("service %q has no endpoint", s.service), noWorkersRetry)
 	}
+	if largest := d.pool(s.service).largest; largest > 0 {
+		// A task that fits nowhere would be held until its deadline, with the tasks behind it.
+		for i, t := range s.tasks {
+			if t.Room().Slots() > largest {
+				return d.refuse(s, hibiscusstate.RefusalNoWorkers, fmt.Sprintf("task %d takes %d slots, no endpoint of service %q has more than %d",
+					i, t.Room().Slots(), s.service, largest), noWorkersRetry)
+			}
+		}
+	}
 	service, _ := d.configuration.Document().Service(s.service)
 	for _, dependency := range service.DependsOn() {
 		if d.pool(dependency).slots == 0 {
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -107,6 +107,8 @@
 	// unit is how many slots a task of the service usually takes; a worker with fewer free ones counts as full.
 	unit     int
 	meanSlot float64
+	// largest is the most slots that an endpoint offers, seen at most a tick ago.
+	largest  int
 	slots    int
 	live     int
 	usable   float64
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -115,8 +115,10 @@
 // While several entries have work waiting, none gets all slots, and none knows beforehand which part it gets.
 func (p *pool) observeCapacity(entries int) {
 	slots := 0
+	p.largest = 0
 	for i := range p.heap.Len() {
 		w := p.heap.At(i)
+		p.largest = max(p.largest, w.Slots())
 		slots += min(w.InFlight()+max(w.Free(), 0), w.LiveSlots())
 	}
 	if p.usable == 0 {
--- a/hibiscuscoordination/dispatcher_workers.go
+++ b/hibiscuscoordination/dispatcher_workers.go
@@ -104,6 +104,7 @@
 	}
 	a.pool.slots += c.slots - a.worker.Slots()
 	a.worker.SetSlots(c.slots)
+	a.pool.largest = max(a.pool.largest, c.slots)
 	if c.slots > 0 {
 		d.endPredecessorRuns(now, a)
 	}
--- a/hibiscuscoordination/leased_runs.go
+++ b/hibiscuscoordination/leased_runs.go
@@ -97,6 +97,15 @@
 	return Announcement{life: life, service: service, room: room, draining: draining, sequence: sequence}
 }
 
+// Life returns the life of the endpoint that speaks.
+func (a Announcement) Life() WorkerLife { return a.life }
+
+// Service returns the service that the endpoint serves.
+func (a Announcement) Service() string { return a.service }
+
+// Room returns what the endpoint offers.
+func (a Announcement) Room() hibiscusstate.Room { return a.room }
+
 // StartRequest asks an endpoint to start a run.
 type StartRequest struct {
 	run     RunID
--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -161,7 +161,7 @@
 		w.log.Info("endpoint: left", "endpoint", id, "running", len(w.runs))
 		w.endAll("the endpoint has left")
 		w.life = WorkerLife{born: w.life.born}
-		w.withdraw()
+		w.withdraw("it has left")
 	})
 }
 
@@ -339,9 +339,9 @@
 	case errors.Is(err, ErrEndpointGone):
 		w.endAll("the endpoint is down")
 		w.listed = false
-		w.withdraw()
+		w.withdraw(err.Error())
 	case now.Sub(w.answeredAt) > renewWhileSilent:
-		w.withdraw()
+		w.withdraw("it answers no look: " + err.Error())
 		if now.After(w.leaseEnd.Add(leaseRenewal/50 + leaseSlack)) {
 			w.endAll("the endpoint is silent and its lease has expired")
 			w.listed = false
@@ -359,7 +359,7 @@
 	w.cursor, w.clock, w.listed, w.answeredAt = 0, 0, false, now
 	w.stalls, w.suspectFor, w.suspectUntil = 0, 0, time.Time{}
 	clear(w.orphans)
-	w.withdraw()
+	w.withdraw("it has started anew")
 }
 
 // offerRoom tells the agent what the endpoint offers, when its state is known.
@@ -385,14 +385,14 @@
 	w.suspectFor = min(max(2*w.suspectFor, suspectTime), maxSuspectTime)
 	w.suspectUntil = now.Add(w.suspectFor)
 	w.log.Warn("endpoint: suspected, its runs stand still", "endpoint", w.life.id, "runs", w.stalls, "for_ms", w.suspectFor.Milliseconds())
-	w.withdraw()
+	w.withdraw("its runs stand still")
 }
 
 // withdraw tells the agent that the endpoint takes no tasks at present.
-func (w *LeasedWorker) withdraw() {
+func (w *LeasedWorker) withdraw(cause string) {
 	if w.offered {
 		w.offered = false
-		w.log.Warn("endpoint: offers no room", "endpoint", w.life.id)
+		w.log.Warn("endpoint: offers no room", "endpoint", w.life.id, "cause", cause)
 		w.report(w.seams.offer(w.announcement.service, hibiscusstate.Room{}))
 	}
 }
--- a/hibiscuscoordination/named_test.go
+++ b/hibiscuscoordination/named_test.go
@@ -9,18 +9,24 @@
 	"hibiscusrouter/hibiscusstate"
 )
 
+// newNamedDispatcher returns a Dispatcher without workers that takes named jobs of the kind check.
+func newNamedDispatcher(now time.Time) *Dispatcher {
+	d := NewDispatcher(1, NewDispatcherSeams(
+		func(hibiscusstate.Incarnation, Message) bool { return true }, func(Event) {}, func(time.Duration) time.Duration { return 0 }))
+	kinds := []hibiscusstate.Kind{hibiscusstate.NewKind("check", false, true, 100*time.Millisecond, time.Minute).
+		WithAttempts(2).WithObjective(1.6, 60*time.Millisecond)}
+	d.Configure(now, hibiscusstate.NewConfiguration(1, "", hibiscusstate.NewDocument(
+		[]hibiscusstate.Service{hibiscusstate.NewService("checks", nil, kinds)}, []hibiscusstate.Team{hibiscusstate.NewTeam("a", 1, 100)})))
+	d.Tick(now)
+	return d
+}
+
 // TestNamedJobsAreForgotten guards against records of named jobs that stay for the ten minutes of other jobs: nobody asks for
 // them again, and at 50 jobs a second they would take more memory than an entry VM has.
 func TestNamedJobsAreForgotten(t *testing.T) {
 	Convey("A named job leaves nothing behind when it has ended", t, func() {
 		now := time.Unix(1_000_000, 0)
-		d := NewDispatcher(1, NewDispatcherSeams(
-			func(hibiscusstate.Incarnation, Message) bool { return true }, func(Event) {}, func(time.Duration) time.Duration { return 0 }))
-		kinds := []hibiscusstate.Kind{hibiscusstate.NewKind("check", false, true, 100*time.Millisecond, time.Minute).
-			WithAttempts(2).WithObjective(1.6, 60*time.Millisecond)}
-		d.Configure(now, hibiscusstate.NewConfiguration(1, "", hibiscusstate.NewDocument(
-			[]hibiscusstate.Service{hibiscusstate.NewService("checks", nil, kinds)}, []hibiscusstate.Team{hibiscusstate.NewTeam("a", 1, 100)})))
-		d.Tick(now)
+		d := newNamedDispatcher(now)
 		answers := 0
 		for i, name := range []string{"one", "two", "one"} {
 			s := NewNamedSubmission(name, "a", "checks", []hibiscusstate.TaskSpec{hibiscusstate.NewTaskSpec("check", make([]byte, 1000), 0)}).
@@ -35,3 +41,26 @@
 		So([]int{len(d.jobs), len(d.named), d.finished.Len(), d.bytes}, ShouldResemble, []int{0, 0, 0, 0})
 	})
 }
+
+// TestTooLargeTasksAreRefused guards against a task that fits no endpoint and is held until its deadline, and holds up the tasks
+// behind it meanwhile.
+func TestTooLargeTasksAreRefused(t *testing.T) {
+	Convey("A task larger than every endpoint is refused at once, until a larger endpoint comes", t, func() {
+		now := time.Unix(1_000_000, 0)
+		d := newNamedDispatcher(now)
+		submit := func(name string, slots int) string {
+			refusal := "none"
+			task := hibiscusstate.NewTaskSpec("check", nil, 0).WithRoom(hibiscusstate.NewRoom(slots, 0, 0))
+			d.SubmitNamed(now, NewNamedSubmission(name, "a", "checks", []hibiscusstate.TaskSpec{task}).WithWait(time.Hour), 1,
+				func(a *Answer) { refusal = a.Refusal().String() })
+			return refusal
+		}
+		d.WorkerUp(now, NewHello(RoleAgent, 2, "10.0.0.2:1", "a", 0, NewCapacity("checks", 4000, false, 1)))
+		So([]string{submit("one", 4001), submit("two", 4000)}, ShouldResemble, []string{"no_workers", "none"})
+		d.WorkerUp(now, NewHello(RoleAgent, 3, "10.0.0.3:1", "a", 0, NewCapacity("checks", 8000, false, 1)))
+		So(submit("three", 4001), ShouldEqual, "none")
+		d.Capacity(now, 3, NewCapacity("checks", 0, false, 1))
+		d.Tick(now.Add(time.Second))
+		So(submit("four", 4001), ShouldEqual, "no_workers")
+	})
+}
