Predict run times from what was declared, as far as declarations of the kind say something

Cause: due times and admission went by the mean run time of a kind. On the users' sites jobs of a kind differ by a factor (standard deviation of the logarithm of the real run time 0.49 to 0.52), and their declarations are off by 40%.

Change: per kind, a fit between the logarithms of declared and observed run times, corrected by classes of declarations. A kind whose declarations say nothing keeps its mean. The log line of an admission has what was declared, what is expected and when the job is due. Ruled out: the geometric mean of both without a fit (refusals at 2.8 s on port_louis, whose declarations are off by ten times), and single jobs as long work (they starved at the cap of long work).

--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -44,6 +44,9 @@
 	defaultDeadline = 30 * time.Second
 	// dueFactor is how many times its longest task a job is expected to take, for the order of waiting jobs.
 	dueFactor = 4
+	// dueBudgetPart is the part of its budget after which a job is due at the latest. Jobs with earlier due times go before it
+	// until then, and it needs the rest of the budget to be served.
+	dueBudgetPart = 3
 	// refusedHold is how long a worker whose endpoint took no task gets none.
 	refusedHold = 250 * time.Millisecond
 	// maxWaiters bounds the callers that wait for one job.
@@ -272,7 +275,6 @@
 	if s.name != "" {
 		d.nameJob(r, s)
 	}
-	d.logAdmitted(r)
 	d.bytes += job.Bytes()
 	heap.Push(&d.deadlines, r)
 	d.counters.jobs++
@@ -290,6 +292,7 @@
 		longest = max(longest, t.Expected())
 	}
 	d.setTimes(now, job, longest)
+	d.logAdmitted(r)
 	for i := range job.Len() {
 		p.queue.Push(job.Task(i))
 		p.observeSlots(job.Task(i).Room().Slots())
@@ -395,7 +398,8 @@
 
 func (d *Dispatcher) done(now time.Time, a *assignment, t *hibiscusstate.Task, r *hibiscusstate.Report) {
 	if r.Outcome() == hibiscusstate.OutcomeFinished {
-		a.pool.runTimes.Observe(t.Kind(), len(t.Payload()), r.RunTime())
+		declared := d.declared(t.Job().Service(), t.Kind(), t.Declared())
+		a.pool.runTimes.Observe(t.Kind(), len(t.Payload()), declared, r.RunTime())
 	}
 	d.judge(now, a, t, r)
 	if d.runAgain(now, a, t, r) {
--- a/hibiscuscoordination/dispatcher_log.go
+++ b/hibiscuscoordination/dispatcher_log.go
@@ -18,7 +18,10 @@
 // logAdmitted says what was known when a job was taken.
 func (d *Dispatcher) logAdmitted(r *jobRecord) {
 	p := d.pool(r.job.Service())
-	d.log.Info("entry: job admitted", "job", nameOf(r.job), "kind", r.job.Task(0).Kind(), "tasks", r.job.Len(),
+	first := r.job.Task(0)
+	d.log.Info("entry: job admitted", "job", nameOf(r.job), "kind", first.Kind(), "tasks", r.job.Len(),
+		"declared_ms", first.Declared().Milliseconds(), "expected_ms", first.Expected().Milliseconds(),
+		"due_ms", r.job.Due().Sub(r.job.SubmittedAt()).Milliseconds(),
 		"version", d.configuration.Version(), "waiting", p.queue.Len(), "waiting_slots", p.queue.Slots(), "live_slots", p.live)
 }
 
--- a/hibiscuscoordination/named.go
+++ b/hibiscuscoordination/named.go
@@ -126,7 +126,7 @@
 func (d *Dispatcher) setTimes(now time.Time, job *hibiscusstate.Job, longest time.Duration) {
 	objective := d.kind(job.Service(), job.Task(0).Kind()).Objective(longest)
 	if objective == 0 {
-		job.SetDue(now.Add(dueFactor * longest))
+		job.SetDue(now.Add(min(dueFactor*longest, job.Deadline().Sub(now)/dueBudgetPart)))
 		return
 	}
 	job.SetDue(now.Add(objective))
--- a/hibiscusstate/runtimes.go
+++ b/hibiscusstate/runtimes.go
@@ -1,29 +1,49 @@
 package hibiscusstate
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
 
-// RunTimes learns how long tasks of each kind and payload size run.
+// RunTimes learns how long tasks of each kind and payload size run, and what a declared run time is worth.
 //
-// Declared run times are often wrong by a factor of ten either way, so they serve only until enough runs were observed.
+// Declared run times are often wrong by a factor of ten either way, so that alone they serve only until enough runs were
+// observed. Then the runs of a kind are told apart by what was declared for them: where declarations say something, the classes
+// differ, and where they don't, all classes have the mean of the kind. On the users' sites, whose declarations are off by 40%,
+// the error of the prediction (standard deviation of its logarithm) was 0.58 to 0.69 with the mean of the kind, and 0.43 to 0.45
+// with the declaration alone.
 type RunTimes struct {
 	classes map[runClass]*runEstimate
+	fits    map[runClass]*declaredFit
 	usual   time.Duration
 }
 
+// runClass is what the runs of a class have in common. Those of a whole kind and size have declared = anyDeclared.
 type runClass struct {
-	kind string
-	size int
+	kind     string
+	size     int
+	declared int
 }
 
+// anyDeclared stands for all declared run times.
+const anyDeclared = -1
+
 type runEstimate struct {
 	n         int
 	mean      float64
 	deviation float64
 }
 
+// declaredFit follows how the logarithms of declared and observed run times of a kind go together.
+type declaredFit struct {
+	n          int
+	declared   float64
+	observed   float64
+	variance   float64
+	covariance float64
+}
+
 const (
 	// trustedRuns is the number of observed runs after which the declared run time no longer counts.
 	trustedRuns = 8
@@ -38,20 +58,63 @@
 	// declaredFactor is how far a declared run time may be from the service's usual one before a run was observed. With 4,
 	// twelve waiting tasks of a wrongly declared kind still had 9 of 20 jobs of another kind refused.
 	declaredFactor = 2
+	// declaredRuns is how many observed runs of a declared class count as much as the guess from the kind's fit.
+	declaredRuns = 8
+	// fitWeight is the weight of the newest run in the fit.
+	fitWeight = 1.0 / 128
 	// longFactor is how many usual run times make a task long.
 	longFactor = 4
 )
 
 // NewRunTimes returns an estimator without observations.
-func NewRunTimes() *RunTimes { return &RunTimes{classes: map[runClass]*runEstimate{}} }
+func NewRunTimes() *RunTimes {
+	return &RunTimes{classes: map[runClass]*runEstimate{}, fits: map[runClass]*declaredFit{}}
+}
 
-// Observe adds the run time of a finished task.
-func (r *RunTimes) Observe(kind string, payloadBytes int, runTime time.Duration) {
+// Observe adds the run time of a finished task that was declared to take so long.
+func (r *RunTimes) Observe(kind string, payloadBytes int, declared, runTime time.Duration) {
 	r.observeUsual(runTime)
-	e := r.classes[classOf(kind, payloadBytes)]
+	class := classOf(kind, payloadBytes)
+	r.observeClass(class, runTime)
+	r.observeClass(class.of(declared), runTime)
+	f := r.fits[class]
+	if f == nil {
+		f = &declaredFit{}
+		r.fits[class] = f
+	}
+	f.observe(logOf(declared), logOf(runTime))
+}
+
+// logOf returns the natural logarithm of a time in milliseconds, of at least one.
+func logOf(t time.Duration) float64 {
+	return math.Log(float64(max(t, time.Millisecond)) / float64(time.Millisecond))
+}
+
+func (f *declaredFit) observe(declared, observed float64) {
+	f.n++
+	weight := max(fitWeight, 1/float64(f.n))
+	fromDeclared, fromObserved := declared-f.declared, observed-f.observed
+	f.declared += weight * fromDeclared
+	f.observed += weight * fromObserved
+	f.variance = (1 - weight) * (f.variance + weight*fromDeclared*fromDeclared)
+	f.covariance = (1 - weight) * (f.covariance + weight*fromDeclared*fromObserved)
+}
+
+// factor returns how many times the mean of its kind a run takes that was declared to take so long: one where declarations say
+// nothing, and at most in proportion to them.
+func (f *declaredFit) factor(declared time.Duration) float64 {
+	if f == nil || f.variance == 0 {
+		return 1
+	}
+	slope := min(max(f.covariance/f.variance, 0), 1)
+	return math.Exp(slope * (logOf(declared) - f.declared))
+}
+
+func (r *RunTimes) observeClass(class runClass, runTime time.Duration) {
+	e := r.classes[class]
 	if e == nil {
 		e = &runEstimate{}
-		r.classes[classOf(kind, payloadBytes)] = e
+		r.classes[class] = e
 	}
 	e.n++
 	if e.n > trustedRuns {
@@ -90,14 +153,31 @@
 	if r.usual > 0 {
 		bounded = min(max(declared, r.usual/declaredFactor), declaredFactor*r.usual)
 	}
-	trust, mean := 0.0, 0.0
-	if e := r.classes[classOf(kind, payloadBytes)]; e != nil {
-		trust = min(float64(e.n)/trustedRuns, 1)
-		mean = e.mean
+	e := r.classes[classOf(kind, payloadBytes)]
+	if e == nil || e.n < trustedRuns {
+		trust, mean := 0.0, 0.0
+		if e != nil {
+			trust, mean = float64(e.n)/trustedRuns, e.mean
+		}
+		expected = time.Duration(trust*mean + (1-trust)*float64(bounded))
+		believed := time.Duration(trust*mean + (1-trust)*float64(declared))
+		return expected, r.usual > 0 && believed > longFactor*r.usual
 	}
-	expected = time.Duration(trust*mean + (1-trust)*float64(bounded))
-	believed := time.Duration(trust*mean + (1-trust)*float64(declared))
-	return expected, r.usual > 0 && believed > longFactor*r.usual
+	expected = r.expectDeclared(classOf(kind, payloadBytes), e.mean, declared)
+	// A kind is long as a whole. When single jobs were, by what was declared for them, those waited at the cap of long work until
+	// their deadlines.
+	return expected, r.usual > 0 && e.mean > float64(longFactor*r.usual)
+}
+
+// expectDeclared returns the predicted run time of a class of a kind with a known mean.
+func (r *RunTimes) expectDeclared(class runClass, mean float64, declared time.Duration) time.Duration {
+	guess := mean * r.fits[class].factor(declared)
+	e := r.classes[class.of(declared)]
+	if e == nil {
+		return time.Duration(guess)
+	}
+	trust := float64(e.n) / float64(e.n+declaredRuns)
+	return time.Duration(trust*e.mean + (1-trust)*guess)
 }
 
 // Learned returns the observed mean run time of such tasks, and whether enough runs are behind it to compare others with.
@@ -114,7 +194,13 @@
 
 // classOf groups payloads by a factor of four in size.
 func classOf(kind string, payloadBytes int) runClass {
-	return runClass{kind: kind, size: bits.Len(uint(payloadBytes)) / 2}
+	return runClass{kind: kind, size: bits.Len(uint(payloadBytes)) / 2, declared: anyDeclared}
+}
+
+// of returns the class of the runs that were declared to take about so long: two classes for each factor of two.
+func (c runClass) of(declared time.Duration) runClass {
+	c.declared = int(2 * logOf(declared) / math.Ln2)
+	return c
 }
 
 // FollowMedian returns a running median after another value: it moves by the part step up or down, so that rare large
