Finish jobs of which most has run, and take late jobs only into what is spare

And jobs were taken as late ones while those to be in time already took all slots; they were held and then answered 503.

Change: a job of which no more than a fifth waits does not yield (a late answer is worth a fifth). A job that can only be late is taken when the slots that jobs to be in time leave are enough for all that waits.

--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -25,6 +26,12 @@
 	aheadFactor = 2.5
 	// objectiveAheadFactor is the same for the work that is due before a job with an objective: later jobs don't go before it.
 	objectiveAheadFactor = 2
+	// inflowTime is over which time the work is followed that was admitted to be in time: the users' load doubles within a second.
+	inflowTime = 500 * time.Millisecond
+	// minSparePart is the part of its capacity that an entry always counts on for late jobs.
+	minSparePart = 0.05
+	// maxRetryAfter bounds the hint of a job that can't be done late either; the users' crests last a few seconds.
+	maxRetryAfter = 5 * time.Second
 	// scanLimit bounds the waiting tasks that an estimate looks at one by one, to some microseconds.
 	scanLimit = 1024
 	// retryFraction is the part of admitted first tries that later tries may add while tasks wait, and retryBurst how many
@@ -145,17 +152,27 @@
 	capacity := d.capacity(p)
 	ahead := float64(p.queue.WorkBefore(now.Add(objective), scanLimit))
 	if time.Duration((objectiveAheadFactor*ahead+float64(work))/capacity)+longest <= objective || p.queue.Len() == 0 {
+		p.inflow = p.inflowAt(now) + float64(work)/float64(inflowTime)
+		p.inflowSince = now
 		return nil
 	}
-	needed := time.Duration((aheadFactor*float64(p.queue.Work())+float64(work))/capacity) + longest
+	// Late jobs get what those leave that are admitted to be in time.
+	spare := max(capacity-p.inflowAt(now), capacity*minSparePart)
+	needed := max(time.Duration((aheadFactor*float64(p.queue.Work())+float64(work))/capacity),
+		time.Duration((float64(p.queue.Work())+float64(work))/spare)) + longest
 	useful := min(lateFactor*objective, d.budget(s))
 	if needed <= useful {
 		return nil
 	}
 	return d.refuse(s, hibiscusstate.RefusalTooLate,
-		fmt.Sprintf("the job would be done in %d ms, it is of use for %d ms; %d ms of work wait for %.0f slots",
-			needed.Milliseconds(), useful.Milliseconds(), p.queue.Work().Milliseconds(), capacity),
-		max(needed-useful, minRetryAfter))
+		fmt.Sprintf("the job would be done in %d ms, it is of use for %d ms; %d ms of work wait for %.0f slots, %.0f of them spare",
+			needed.Milliseconds(), useful.Milliseconds(), p.queue.Work().Milliseconds(), capacity, spare),
+		min(max(needed-useful, minRetryAfter), maxRetryAfter))
+}
+
+// inflowAt returns how many slots the work takes that has lately been admitted to be in time.
+func (p *pool) inflowAt(now time.Time) float64 {
+	return p.inflow * math.Exp(-float64(now.Sub(p.inflowSince))/float64(inflowTime))
 }
 
 // checkDeadline refuses at once what can't be in time. While nothing waits, every job is taken: its run times may be
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -111,15 +111,18 @@
 	unit     int
 	meanSlot float64
 	// largest is the most slots that an endpoint offers, seen at most a tick ago.
-	largest  int
-	slots    int
-	live     int
-	usable   float64
-	longs    int
-	failures float64
-	slowness float64
-	retries  float64
-	totals   serviceTotals
+	largest int
+	slots   int
+	live    int
+	usable  float64
+	longs   int
+	// inflow is how many slots the work takes that was admitted to be in time, as of inflowSince.
+	inflow      float64
+	inflowSince time.Time
+	failures    float64
+	slowness    float64
+	retries     float64
+	totals      serviceTotals
 }
 
 // assignment is a worker with the tasks of this entry that it has.
--- a/hibiscuscoordination/named.go
+++ b/hibiscuscoordination/named.go
@@ -129,8 +129,7 @@
 		job.SetDue(now.Add(min(dueFactor*longest, job.Deadline().Sub(now)/dueBudgetPart)))
 		return
 	}
-	job.SetDue(now.Add(objective))
-	job.SetLatest(now.Add(lateFactor * objective))
+	job.SetObjective(now.Add(objective), now.Add(lateFactor*objective))
 }
 
 // kind returns a kind of the configuration in force, without attempts and objective when there is none of the name.
--- a/hibiscusstate/job.go
+++ b/hibiscusstate/job.go
@@ -181,6 +181,7 @@
 	submittedAt time.Time
 	deadline    time.Time
 	due         time.Time
+	queued      int
 	tasks       []Task
 	name        string
 	attempts    int
@@ -242,6 +243,12 @@
 	}
 }
 
+// SetObjective sets when a job is due, and after which time an answer is of no use to the caller.
+func (j *Job) SetObjective(due, latest time.Time) {
+	j.SetDue(due)
+	j.latest = latest
+}
+
 // SetName gives the job the name that its client chose for it, and how often a task of it may fail.
 func (j *Job) SetName(name string, attempts int) {
 	j.name = name
@@ -254,18 +261,19 @@
 // Attempts returns how often a task of a named job may fail.
 func (j *Job) Attempts() int { return j.attempts }
 
-// SetLatest sets the time after which an answer is of no use to the caller.
-func (j *Job) SetLatest(latest time.Time) { j.latest = latest }
+// lateCredit is what a late answer is worth to the users, as a part of one that is in time: a fifth.
+const lateCredit = 5
 
-// missesObjective says whether a job with an objective can't be in time when its task t is started now.
-func (j *Job) missesObjective(now time.Time, t *Task) bool {
-	return !j.latest.IsZero() && now.Add(t.expected).After(j.due)
+// yields says whether a job with an objective can't be in time when its task t is started now, and should let others go before
+// it. One of which no more than a fifth still waits does not: to finish it gives more for each run than to begin another.
+func (j *Job) yields(now time.Time, t *Task) bool {
+	return !j.latest.IsZero() && now.Add(t.expected).After(j.due) && j.queued*lateCredit > len(j.tasks)
 }
 
 // Late says whether the job can't be in time any more.
 func (j *Job) Late() bool { return j.late }
 
-// Latest returns the time after which an answer is of no use to the caller: the deadline unless SetLatest brought it forward.
+// Latest returns the time after which an answer is of no use to the caller: the deadline unless SetObjective brought it forward.
 func (j *Job) Latest() time.Time {
 	if j.latest.IsZero() || j.deadline.Before(j.latest) {
 		return j.deadline
--- a/hibiscusstate/queue.go
+++ b/hibiscusstate/queue.go
@@ -14,7 +14,8 @@
 // due time goes first (Job.Due), in two classes: when long work holds its cap of slots, only the short class is served.
 //
 // While more work comes than can be done in time, the earliest due time first would make every job late: each is served just
-// after its time. So a job with an objective that can't be met any more yields to all jobs whose objective can.
+// after its time. So a job with an objective that can't be met any more yields to all jobs whose objective can, unless most of
+// it has run.
 //
 // Cancelled tasks stay in the heaps and are skipped when they reach the head, so a wave of cancellations scans nothing.
 type FairQueue struct {
@@ -130,6 +131,7 @@
 	heap.Push(&team.classes[team.classOf(t)], t)
 	team.waiting++
 	team.work += t.Work()
+	t.job.queued++
 	q.waiting++
 	q.slots += t.room.slots
 	q.work += t.Work()
@@ -203,6 +205,7 @@
 func (q *FairQueue) uncount(team *teamQueue, t *Task) {
 	team.waiting--
 	team.work -= t.Work()
+	t.job.queued--
 	q.waiting--
 	q.slots -= t.room.slots
 	q.work -= t.Work()
@@ -242,7 +245,7 @@
 func (t *teamQueue) setLateAside(now time.Time) {
 	for class := classShort; class <= classLong; class++ {
 		for head := t.classes[class].peek(); head != nil; head = t.classes[class].peek() {
-			if !head.job.late && !head.job.missesObjective(now, head) {
+			if !head.job.late && !head.job.yields(now, head) {
 				break
 			}
 			heap.Pop(&t.classes[class])
