Keep tasks at the entry while the workers are full

What is due earlier could not go before them, and a job's last task was bound to one worker while slots came free elsewhere.

Change: where tasks take many small slots, none is sent to a full worker. A worker that runs ten tasks has a free slot every 15 ms, and the gap until the next order is 1 to 3 ms of a task. TestUrgentTaskOvertakes sent four patient tasks before the urgent one before. Waiting places stay for workers with a few slots.

--- a/hibiscuscoordination/named_test.go
+++ b/hibiscuscoordination/named_test.go
@@ -11,8 +11,12 @@
 
 // newNamedDispatcher returns a Dispatcher without workers that takes named jobs of the kind check.
 func newNamedDispatcher(now time.Time) *Dispatcher {
-	d := NewDispatcher(1, NewDispatcherSeams(
-		func(hibiscusstate.Incarnation, Message) bool { return true }, func(Event) {}, func(time.Duration) time.Duration { return 0 }))
+	return newSendingDispatcher(now, func(hibiscusstate.Incarnation, Message) bool { return true })
+}
+
+// newSendingDispatcher is newNamedDispatcher with what it sends.
+func newSendingDispatcher(now time.Time, send func(hibiscusstate.Incarnation, Message) bool) *Dispatcher {
+	d := NewDispatcher(1, NewDispatcherSeams(send, func(Event) {}, func(time.Duration) time.Duration { return 0 }))
 	kinds := []hibiscusstate.Kind{hibiscusstate.NewKind("check", false, true, 100*time.Millisecond, time.Minute).
 		WithAttempts(2).WithObjective(1.6, 60*time.Millisecond)}
 	d.Configure(now, hibiscusstate.NewConfiguration(1, "", hibiscusstate.NewDocument(
@@ -64,3 +68,37 @@
 		So(submit("four", 4001), ShouldEqual, "no_workers")
 	})
 }
+
+// TestUrgentTaskOvertakes guards against tasks that wait at the agent of a full worker, where nothing that is due earlier can go
+// before them: in a burst, jobs of 50 ms waited there behind jobs of a second, and were late.
+func TestUrgentTaskOvertakes(t *testing.T) {
+	Convey("While the workers are full, the next free slot gets what is due first", t, func() {
+		now := time.Unix(1_000_000, 0)
+		var sent []string
+		d := newSendingDispatcher(now, func(_ hibiscusstate.Incarnation, m Message) bool {
+			for _, order := range m.Orders() {
+				sent = append(sent, order.JobName())
+			}
+			return true
+		})
+		submit := func(name string, declared time.Duration, n int) {
+			tasks := make([]hibiscusstate.TaskSpec, n)
+			for i := range tasks {
+				tasks[i] = hibiscusstate.NewTaskSpec("check", nil, declared).WithRoom(hibiscusstate.NewRoom(500, 0, 0))
+			}
+			d.SubmitNamed(now, NewNamedSubmission(name, "a", "checks", tasks).WithWait(time.Hour), 1, func(*Answer) {})
+			d.Flush(now)
+		}
+		d.WorkerUp(now, NewHello(RoleAgent, 2, "10.0.0.2:1", "a", 0, NewCapacity("checks", 2000, false, 1)))
+		submit("running", time.Second, 4)
+		submit("patient", time.Second, 16)
+		submit("urgent", 50*time.Millisecond, 1)
+		So(sent, ShouldResemble, []string{"running", "running", "running", "running"})
+		running := d.named["running"].job.Task(0)
+		d.Reports(now, 2, []hibiscusstate.Report{
+			hibiscusstate.NewResult(running.Try(), hibiscusstate.OutcomeFinished, nil, "", time.Second).WithLoad(0, 0, 1),
+		})
+		d.Flush(now)
+		So(sent[4:], ShouldResemble, []string{"urgent"})
+	})
+}
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -17,9 +17,6 @@
 	// agentWaitLimit is how long a task may wait at an agent before it comes back, unless the service is full: then all
 	// agents have tasks waiting, and with this limit a surge wasted 0.23 to 0.32 messages a task.
 	agentWaitLimit = 100 * time.Millisecond
-	// waitingBacklog is how many usual tasks have to wait at an entry before some are sent to wait at agents, where workers
-	// count their slots in small units.
-	waitingBacklog = 4
 	// sweepInterval is how often waiting jobs are looked at; the shortest objective of the known sites is 140 ms.
 	sweepInterval = 20 * time.Millisecond
 	// staleWaitPart is the part of its run time that a task may wait for a slot that this entry believed to be free. A
@@ -42,8 +39,10 @@
 		}
 		wait := time.Duration(0)
 		if w.Free() < p.unit {
-			if p.unit-1-w.Free() >= d.waitPlaces()*p.unit || p.queue.Slots() < d.backlog(p) {
-				// A short queue is served sooner by the next free slot anywhere than by one agent's.
+			if p.unit > 1 || -w.Free() >= d.waitPlaces() || p.queue.Slots() < p.slots/len(d.entries) {
+				// A short queue is served sooner by the next free slot anywhere than by one agent's. So is every task of a worker
+				// that runs many at once: one ends there every few milliseconds, and a task that waits at an agent can't be
+				// overtaken by one that is due earlier.
 				return
 			}
 			wait = max(2*p.runTimes.Usual(), agentWaitLimit)
@@ -114,16 +113,6 @@
 	d.finish(now, r)
 }
 
-// backlog returns from how many waiting slots on tasks are sent to wait at agents. A short queue is served sooner by the next
-// free slot anywhere than by one agent's, where tasks run as long as a message takes. A worker that runs many tasks at once
-// has a free slot soon, and would stand idle for the time of a report and an order.
-func (d *Dispatcher) backlog(p *pool) int {
-	if p.unit == 1 {
-		return p.slots / len(d.entries)
-	}
-	return min(p.slots/len(d.entries), waitingBacklog*p.unit)
-}
-
 // waitPlaces returns this entry's share of the waiting places at an agent.
 func (d *Dispatcher) waitPlaces() int { return max(agentWaitPlaces/len(d.entries), 1) }
 
