Keep a part of the log for lines that are about no single job

Cause: while tracing a request that was cut at a stopping entry, its line "entry: draining" was missing: lines about jobs had used up the 200 lines a second. The line that explains many others was lost with them.

Change: lines about jobs leave 100 of the 400 lines of a burst to all others.

--- a/hibiscustransport/log_writer.go
+++ b/hibiscustransport/log_writer.go
@@ -1,6 +1,7 @@
 package hibiscustransport
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -17,6 +18,9 @@
 	logLinesPerSecond = 200
 	// logBurst is how many lines may come at once, from a quiet second.
 	logBurst = 400
+	// logReserve is how many of these are kept for lines that are about no single job: starts, stops, changes of the configuration,
+	// lost and regained dependencies. They are few, and each explains many lines about jobs.
+	logReserve = 100
 	// logRing bounds the lines that wait for a reader that lags.
 	logRing = 1024
 	// logBatch is how many lines one write has at most.
@@ -36,6 +40,9 @@
 	done     chan struct{}
 }
 
+// jobAttribute is in every line that is about one job.
+var jobAttribute = []byte(" job=")
+
 // NewLogWriter returns a writer whose duty writes to out until Close.
 func NewLogWriter(out io.Writer) *LogWriter {
 	w := &LogWriter{
@@ -52,6 +59,9 @@
 	w.tokens = min(w.tokens+now.Sub(w.filled).Seconds()*logLinesPerSecond, logBurst)
 	w.filled = now
 	taken := w.tokens >= 1
+	if bytes.Contains(line, jobAttribute) {
+		taken = w.tokens >= 1+logReserve
+	}
 	var report []byte
 	if taken {
 		w.tokens--
