--- a/hibiscussoak/clients.go
+++ b/hibiscussoak/clients.go
@@ -18,11 +18,15 @@
 	// resendTime is when a client sends a job again after a broken connection, a 502 or a 504.
 	resendTime = 1300 * time.Millisecond
 	// jobDeadline is how long a client waits for an answer.
-	jobDeadline = 4 * time.Second
+	jobDeadline = 6 * time.Second
 	maxTries    = 3
 	maxJobTasks = 4
 	minRunMS    = 20
 	maxRunMS    = 250
+	// One job in longPart has tasks that still run when its client sends it again, so that a second run would be seen.
+	longPart  = 5
+	minLongMS = 1500
+	maxLongMS = 3500
 	// thinkTime is the longest pause between two jobs of a client.
 	thinkTime = 150 * time.Millisecond
 	// One job in failPart fails, one in hangPart makes no progress at first, and one client in leavePart leaves early.
@@ -56,7 +60,11 @@
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		j := &tried{id: fmt.Sprintf("%016x", r.Uint64()), tasks: 1 + r.IntN(maxJobTasks)}
-		spec := fmt.Sprintf("%dms", minRunMS+r.IntN(maxRunMS-minRunMS))
+		takes := minRunMS + r.IntN(maxRunMS-minRunMS)
+		if r.IntN(longPart) == 0 {
+			takes = minLongMS + r.IntN(maxLongMS-minLongMS)
+		}
+		spec := fmt.Sprintf("%dms", takes)
 		switch {
 		case r.IntN(failPart) == 0:
 			spec, j.fails = spec+" fail", true
