Tell of room one entry at a time, and only when it stays free

Besides, each entry doubted its view of every full worker every 0.1 to 0.3 s and sent a task to find out.

Change: an agent tells no more entries than there is room for, those first that were told longest ago, and only of room that has been free for 5 ms; the entry whose task has ended hears at once, and fills it within 1 to 3 ms when it has tasks. Where agents tell of room, a view is doubted after 2 s. The usual size of a task began at an eighth of the first one's.

TestRoomIsToldOnce: both entries heard of the room at once before.

--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -14,6 +14,9 @@
 // capacityWeight is the weight of the newest look at the slots of a service, one each tick.
 const capacityWeight = 0.2
 
+// toldViewAge is the same where agents say when they have room: a message may be lost with its session only.
+const toldViewAge = 2 * time.Second
+
 // Tick does what is due at now.
 func (d *Dispatcher) Tick(now time.Time) {
 	if d.startedAt.IsZero() {
@@ -102,7 +105,7 @@
 	}
 	w.ReleaseHolds(now)
 	d.tryAgain(now, a)
-	if now.Sub(w.ReportedAt()) > max(2*a.pool.runTimes.Usual(), tickInterval) && w.Free() < a.pool.unit && w.Others() > 0 {
+	if now.Sub(w.ReportedAt()) > a.pool.viewAge() && w.Free() < a.pool.unit && w.Others() > 0 {
 		// Without this a worker that was full of other entries' tasks would look full for good, because nothing is sent
 		// to it and so no report comes back. One slot is enough to find out; halving the others' tasks on every worker
 		// instead made a fifth of the tasks bounce.
@@ -111,6 +114,15 @@
 	a.update()
 }
 
+// viewAge returns how old the view of a full worker has to be to be doubted.
+func (p *pool) viewAge() time.Duration {
+	if p.unit > 1 {
+		// Agents whose workers run many tasks at once say when they have room.
+		return toldViewAge
+	}
+	return max(2*p.runTimes.Usual(), tickInterval)
+}
+
 // observeCapacity follows how many slots this entry has or could have: those with its tasks and those that look free.
 // While several entries have work waiting, none gets all slots, and none knows beforehand which part it gets.
 func (p *pool) observeCapacity(entries int) {
--- a/hibiscuscoordination/slot_keeper.go
+++ b/hibiscuscoordination/slot_keeper.go
@@ -40,7 +40,9 @@
 	settled     *hibiscusstate.BoundedSet[hibiscusstate.TaskTry]
 	watchers    map[hibiscusstate.SubmissionKey][]watcher
 	// unit is how many slots a task usually takes; an endpoint with fewer free ones counts as full.
-	unit       int
+	unit int
+	// roomSince is since when there is room for a usual task, zero while there is none.
+	roomSince  time.Time
 	leaving    bool
 	firstLease uint64
 	drained    bool
@@ -337,10 +339,10 @@
 	slot := k.freeSlot()
 	k.slots[slot] = t
 	k.used = k.used.Add(t.Order().Room())
-	k.unit += (t.Order().Room().Slots() - k.unit) / unitPart
 	if k.unit == 0 {
 		k.unit = t.Order().Room().Slots()
 	}
+	k.unit += (t.Order().Room().Slots() - k.unit) / unitPart
 	t.Start(slot, now)
 	k.waitTimes.Observe(now.Sub(t.TakenAt()))
 	k.started++
@@ -415,6 +417,7 @@
 
 // NextTick returns when Tick has something to do.
 func (k *SlotKeeper) NextTick(now time.Time) time.Time {
+	k.noteRoom(now, k.takenSlots())
 	next := now.Add(time.Second)
 	if due := k.nextLoad(); !due.IsZero() && due.Before(next) {
 		next = due
--- a/hibiscuscoordination/slot_keeper_test.go
+++ b/hibiscuscoordination/slot_keeper_test.go
@@ -27,6 +27,9 @@
 			for _, r := range m.Reports() {
 				what = append(what, fmt.Sprintf("%s=%s", tryName(r.Try()), reportName(r)))
 			}
+			if m.Kind() == MessageLoad {
+				what = append(what, fmt.Sprintf("others=%d waiting=%d", m.Load().others, m.Load().waiting))
+			}
 			if m.Kind() == MessageCapacity {
 				what = append(what, fmt.Sprintf("slots=%d leaving=%t lease=%d", m.Capacity().Slots(), m.Capacity().Leaving(), m.Capacity().Lease()))
 			}
@@ -167,3 +170,47 @@
 	}
 	return lines
 }
+
+// TestRoomIsToldOnce guards against all entries sending their tasks to each slot that comes free at a full worker: with 14 entries
+// nearly every order was rejected.
+func TestRoomIsToldOnce(t *testing.T) {
+	s := newKeeperSession()
+	const slots = 500
+	order := func(sequence uint64) []hibiscusstate.Order {
+		return []hibiscusstate.Order{orderOf(sequence, 0, 1)[0].WithRoom(hibiscusstate.NewRoom(slots, 0, 0))}
+	}
+	finish := func(slot int) { s.Finished(s.now, slot, NewRunResult(hibiscusstate.OutcomeFinished, nil, "")) }
+	// wait passes the time as the agent's duty does.
+	wait := func(d time.Duration) {
+		for end := s.now.Add(d); s.now.Before(end); s.Tick(s.now) {
+			s.now = s.now.Add(time.Millisecond)
+			s.NextTick(s.now)
+		}
+	}
+	s.step(0, "an endpoint with room for two tasks, three entries", func() {
+		s.SetEndpoint(s.now, "checks", hibiscusstate.NewRoom(2*slots, 0, 0))
+		for entry := range 3 {
+			s.EntryUp(s.now, hibiscusstate.Incarnation(entry+1))
+		}
+	})
+	s.step(0, "entry 1 fills it, the others hear of it", func() {
+		s.Orders(s.now, 1, order(1))
+		s.Orders(s.now, 1, order(2))
+		wait(20 * time.Millisecond)
+	})
+	s.step(0, "a task ends and entry 1 has the next one 2 ms later: nobody else hears of the room", func() {
+		finish(0)
+		wait(2 * time.Millisecond)
+		s.Orders(s.now, 1, order(3))
+		wait(20 * time.Millisecond)
+	})
+	s.step(0, "a task ends and entry 1 has none: the others hear of the room one after the other", func() {
+		finish(1)
+		wait(4 * time.Millisecond)
+		s.say("  after 4 ms")
+		wait(4 * time.Millisecond)
+		s.say("  after 8 ms")
+		wait(20 * time.Millisecond)
+	})
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "room_is_told_once", []byte(strings.Join(s.sorted(), "\n")+"\n"))
+}
