Give a stop without an answer up as soon as a start

A start was given up after 25 ms, but the stop that has to follow it after 150 ms, the next one came 50 ms later, and the look after it had 100 ms: a task of 50 ms ran nowhere for 0.2 s. Change: stops and looks that nothing holds back have the timeout of the start; stops are repeated after 10 ms.

--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -46,10 +46,10 @@
 		w.answered(run, verdict, clock)
 		switch verdict {
 		case StartTaken:
-			return w.await(ctx, life, run)
+			return w.await(ctx, plan)
 		case StartUnanswered:
 			w.log.Warn("endpoint: start got no answer, stopping it", "job", id.job, "index", id.index, "run", id.number)
-			return w.stopAndAwait(ctx, life, run)
+			return w.stopAndAwait(ctx, plan)
 		case StartOutdated:
 			number *= 2
 		case StartNoRoom, StartRefused:
@@ -61,7 +61,7 @@
 	return NewNotRunResult(hibiscusstate.RejectionEndpointBusy)
 }
 
-// startPlan is what a start needs from the duty.
+// startPlan is what a start, and the stop after it, need from the duty; timeout is after how long each counts as unanswered.
 type startPlan struct {
 	run     *leasedRun
 	request StartRequest
@@ -115,15 +115,16 @@
 }
 
 // await waits for the end of a run, and stops it when ctx is done before.
-func (w *LeasedWorker) await(ctx context.Context, life WorkerLife, run *leasedRun) RunResult {
+func (w *LeasedWorker) await(ctx context.Context, plan startPlan) RunResult {
+	run := plan.run
 	select {
 	case end := <-run.ended:
 		return resultOfEnd(end, false)
 	case <-run.stalled:
 		w.log.Warn("endpoint: run stands still, stopping it", "job", run.id.job, "index", run.id.index, "run", run.id.number)
-		return stalledResult(w.stopAndAwait(ctx, life, run))
+		return stalledResult(w.stopAndAwait(ctx, plan))
 	case <-ctx.Done():
-		return w.stopAndAwait(ctx, life, run)
+		return w.stopAndAwait(ctx, plan)
 	}
 }
 
@@ -137,10 +138,11 @@
 
 // stopAndAwait stops a run and waits for its end. The request is repeated until it is answered, also past ctx, because the run
 // takes room until its end is known.
-func (w *LeasedWorker) stopAndAwait(ctx context.Context, life WorkerLife, run *leasedRun) RunResult {
+func (w *LeasedWorker) stopAndAwait(ctx context.Context, plan startPlan) RunResult {
+	run := plan.run
 	for {
-		stopCtx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := w.seams.stop(stopCtx, life, run.id)
+		stopCtx, cancel := context.WithTimeout(context.Background(), plan.timeout)
+		err := w.seams.stop(stopCtx, plan.life, run.id)
 		cancel()
 		if err == nil {
 			break
@@ -148,7 +150,7 @@
 		select {
 		case end := <-run.ended:
 			return resultOfEnd(end, ctx.Err() != nil)
-		case <-time.After(retryLook):
+		case <-time.After(retryStop):
 		}
 	}
 	w.report(w.duty.do(func(time.Time) { run.answered, run.settled = true, w.looks }))
--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -36,7 +36,7 @@
 	// callTimeout bounds a request to the endpoint beside the agent, which answers within a millisecond. A process whose
 	// processor time is a quota may stand still for 76 ms.
 	callTimeout = 150 * time.Millisecond
-	// minStartTimeout and startFactor bound a start: it counts as unanswered after startFactor times the usual time to an answer,
+	// minStartTimeout and startFactor bound a start, and the stop of one without an answer: it counts as unanswered after startFactor times the usual time to an answer,
 	// at least minStartTimeout and at most callTimeout. A task of 50 ms is late when one of its job's starts is waited for for
 	// 150 ms; the answer usually comes within 2 ms.
 	minStartTimeout = 25 * time.Millisecond
@@ -53,6 +53,8 @@
 	renewWhileSilent = 600 * time.Millisecond
 	// retryLook is the time between two looks when the endpoint does not answer.
 	retryLook = 50 * time.Millisecond
+	// retryStop is the time between two tries of a stop that gets no answer. Its task runs nowhere until the stop is answered.
+	retryStop = 10 * time.Millisecond
 	// stallTime, stallParts and firstStallPart say when a run stands still: its percentage does not change for stallTime, for
 	// stallParts times as long as one percent has taken so far, and before the first percent for a part of its expected time.
 	// A task of 8 s on a worker that is 6 times slower makes a percent in 0.5 s.
@@ -184,6 +186,7 @@
 	life    WorkerLife
 	request LookRequest
 	number  uint64
+	timeout time.Duration
 }
 
 // lookOnce asks the endpoint once and says whether it answered. The endpoint may hold the answer back for wait, or longer
@@ -193,7 +196,7 @@
 	if err != nil || plan.life.id == "" {
 		return false
 	}
-	lookCtx, cancel := context.WithTimeout(ctx, plan.request.wait+lookSlack)
+	lookCtx, cancel := context.WithTimeout(ctx, plan.timeout)
 	listing, err := w.seams.look(lookCtx, plan.life, plan.request)
 	cancel()
 	if ctx.Err() != nil {
@@ -227,7 +230,12 @@
 	if len(w.runs) > 0 && now.Sub(w.answeredAt) < renewWhileSilent {
 		request.until = w.renew(now)
 	}
-	return lookPlan{life: w.life, number: w.looks, request: request}
+	timeout := wait + lookSlack
+	if wait == 0 {
+		// Nothing holds the answer back, so that it comes as soon as that to a start.
+		timeout = w.startTimeout()
+	}
+	return lookPlan{life: w.life, number: w.looks, request: request, timeout: timeout}
 }
 
 // startTimeout returns after how long a start counts as unanswered.
