Fence orders of an earlier life and of an earlier agent process

An order carries the worker's id only, so that the next life takes it. The same holds for an agent process that takes over while an order of its predecessor is under way: it finds the run only when it has given the room away.

Change: all orders carry a fencing token, the agent's epoch, in milliseconds of the time of day, above the last one with each life of the worker. When the worker has seen a higher one, because the clock of the process before was ahead, the epoch rises by 5 s, then 10 s, until it is taken. Ruled out: keeping the room for 12 s after each restart.

--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -80,7 +80,7 @@
 		}
 		w.runs[id] = run
 		w.largest = max(w.largest, order.Room().Slots())
-		request := StartRequest{run: id, payload: order.Payload(), until: w.renew(now)}
+		request := StartRequest{run: id, payload: order.Payload(), until: w.renew(now), epoch: w.epoch}
 		return startPlan{run: run, life: w.life, timeout: w.startTimeout(), request: request}
 	})
 	if err == nil && plan.run == nil {
@@ -142,7 +142,7 @@
 	run := plan.run
 	for {
 		stopCtx, cancel := context.WithTimeout(context.Background(), plan.timeout)
-		err := w.seams.stop(stopCtx, plan.life, run.id)
+		err := w.seams.stop(stopCtx, plan.life, run.id, w.epochNow(plan.request.epoch))
 		cancel()
 		if err == nil {
 			break
--- a/hibiscuscoordination/leased_runs.go
+++ b/hibiscuscoordination/leased_runs.go
@@ -112,8 +112,12 @@
 	payload []byte
 	// until is the end of the lease, in milliseconds on the endpoint's clock.
 	until int64
+	epoch uint64
 }
 
+// Epoch returns the epoch of the agent's orders; an endpoint does nothing for an epoch below the highest that it has seen.
+func (r StartRequest) Epoch() uint64 { return r.epoch }
+
 // Run returns the run to start.
 func (r StartRequest) Run() RunID { return r.run }
 
@@ -128,8 +132,12 @@
 	until  int64
 	cursor uint64
 	wait   time.Duration
+	epoch  uint64
 }
 
+// Epoch returns the epoch of the agent's orders.
+func (r LookRequest) Epoch() uint64 { return r.epoch }
+
 // Until returns the end of the lease, in milliseconds on the endpoint's clock; zero leaves the lease as it is.
 func (r LookRequest) Until() int64 { return r.until }
 
@@ -173,17 +181,18 @@
 // LeasedWorkerSeams are the function fields through which a LeasedWorker acts.
 type LeasedWorkerSeams struct {
 	start func(ctx context.Context, life WorkerLife, r StartRequest) (verdict StartVerdict, clock int64)
-	stop  func(ctx context.Context, life WorkerLife, run RunID) error
+	stop  func(ctx context.Context, life WorkerLife, run RunID, epoch uint64) error
 	look  func(ctx context.Context, life WorkerLife, r LookRequest) (Listing, error)
 	offer func(service string, room hibiscusstate.Room) error
 	leave func() error
 }
 
 // NewLeasedWorkerSeams returns the seams: start, stop and look ask the endpoint; look returns ErrEndpointGone when nothing
-// runs there any more. offer and leave tell the agent what the endpoint offers, and that it takes no new work.
+// runs there any more, and ErrEpochPassed when the endpoint has seen a higher epoch. offer and leave tell the agent what the
+// endpoint offers, and that it takes no new work.
 func NewLeasedWorkerSeams(
 	start func(ctx context.Context, life WorkerLife, r StartRequest) (verdict StartVerdict, clock int64),
-	stop func(ctx context.Context, life WorkerLife, run RunID) error,
+	stop func(ctx context.Context, life WorkerLife, run RunID, epoch uint64) error,
 	look func(ctx context.Context, life WorkerLife, r LookRequest) (Listing, error),
 	offer func(service string, room hibiscusstate.Room) error,
 	leave func() error,
--- a/hibiscuscoordination/leased_worker.go
+++ b/hibiscuscoordination/leased_worker.go
@@ -21,6 +21,10 @@
 //
 // An agent that has just started knows nothing of what its predecessor started. It stops all that the endpoint runs, and
 // offers no room until a list is empty.
+//
+// An order that got no answer may be carried out up to 12 s later, when the endpoint has started anew under its name and has
+// forgotten the stop, or when another agent process has taken over and does not know of the order's room. So all orders carry an
+// epoch, which rises with each agent process and each life of the endpoint, and an endpoint does nothing for a lower one.
 
 const (
 	// leaseRenewal is how long a lease lasts from each renewal; endpoints take at most a second.
@@ -36,9 +40,9 @@
 	// callTimeout bounds a request to the endpoint beside the agent, which answers within a millisecond. A process whose
 	// processor time is a quota may stand still for 76 ms.
 	callTimeout = 150 * time.Millisecond
-	// minStartTimeout and startFactor bound a start, and the stop of one without an answer: it counts as unanswered after startFactor times the usual time to an answer,
-	// at least minStartTimeout and at most callTimeout. A task of 50 ms is late when one of its job's starts is waited for for
-	// 150 ms; the answer usually comes within 2 ms.
+	// minStartTimeout and startFactor bound a start, and the stop of one without an answer: it counts as unanswered after
+	// startFactor times the usual time to an answer, at least minStartTimeout and at most callTimeout. A task of 50 ms is late when
+	// one of its job's starts is waited for for 150 ms; the answer usually comes within 2 ms.
 	minStartTimeout = 25 * time.Millisecond
 	startFactor     = 10
 	// answerWeight is the part by which one answer moves the usual time.
@@ -68,6 +72,9 @@
 	suspectTime    = 2 * time.Second
 	maxSuspectTime = 16 * time.Second
 	suspectPart    = 8
+	// epochStep is by how much the epoch rises when the endpoint has seen a higher one, in milliseconds, twice as much each time:
+	// epochs are times of day, which differ by at most 5 s between VMs, and by 2 s when a clock jumps.
+	epochStep = 5000
 	// firstNumbers bounds how many numbers a start tries when the endpoint has seen higher ones.
 	firstNumbers = 12
 	// maxForgotten bounds the runs that are remembered after their end.
@@ -80,17 +87,20 @@
 	seams        LeasedWorkerSeams
 	life         WorkerLife
 	announcement Announcement
-	runs         map[RunID]*leasedRun
-	orphans      map[RunID]bool
-	forgotten    map[RunID]uint64
-	cursor       uint64
-	looks        uint64
-	applied      uint64
-	clock        int64
-	clockAt      time.Time
-	answeredAt   time.Time
-	startTime    time.Duration
-	leaseEnd     time.Time
+	// epoch is that of all orders that are sent now, in milliseconds of the time of day.
+	epoch      uint64
+	epochStep  uint64
+	runs       map[RunID]*leasedRun
+	orphans    map[RunID]bool
+	forgotten  map[RunID]uint64
+	cursor     uint64
+	looks      uint64
+	applied    uint64
+	clock      int64
+	clockAt    time.Time
+	answeredAt time.Time
+	startTime  time.Duration
+	leaseEnd   time.Time
 	// largest is the most slots that a run here has taken, so that a part of the room is enough for one.
 	largest      int
 	offered      bool
@@ -107,7 +117,7 @@
 func NewLeasedWorker(seams LeasedWorkerSeams, log *slog.Logger) *LeasedWorker {
 	w := &LeasedWorker{
 		seams: seams, runs: map[RunID]*leasedRun{}, orphans: map[RunID]bool{}, forgotten: map[RunID]uint64{}, log: log,
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), epoch: uint64(time.Now().UnixMilli()), epochStep: epochStep,
 	}
 	w.duty = newDuty(func(time.Time) {}, func(now time.Time) time.Time { return now.Add(time.Second) })
 	return w
@@ -226,7 +236,7 @@
 		wait = idleLook
 	}
 	w.looks++
-	request := LookRequest{cursor: w.cursor, wait: wait}
+	request := LookRequest{cursor: w.cursor, wait: wait, epoch: w.epoch}
 	if len(w.runs) > 0 && now.Sub(w.answeredAt) < renewWhileSilent {
 		request.until = w.renew(now)
 	}
@@ -238,6 +248,15 @@
 	return lookPlan{life: w.life, number: w.looks, request: request, timeout: timeout}
 }
 
+// epochNow returns the epoch of an order that is sent now, or the one it had before when the duty has ended.
+func (w *LeasedWorker) epochNow(before uint64) uint64 {
+	epoch, err := ask(w.duty, func(time.Time) uint64 { return w.epoch })
+	if err != nil {
+		return before
+	}
+	return epoch
+}
+
 // startTimeout returns after how long a start counts as unanswered.
 func (w *LeasedWorker) startTimeout() time.Duration {
 	if w.startTime == 0 {
@@ -325,11 +344,11 @@
 func (w *LeasedWorker) stopOrphan(id RunID) {
 	w.log.Warn("endpoint: stopping a run that this process did not start", "job", id.job, "index", id.index, "run", id.number)
 	w.orphans[id] = true
-	life := w.life
+	life, epoch := w.life, w.epoch
 	w.working.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		err := w.seams.stop(ctx, life, id)
+		err := w.seams.stop(ctx, life, id, epoch)
 		if err != nil {
 			w.log.Warn("endpoint: stop got no answer", "job", id.job, "index", id.index, "cause", err.Error())
 		}
@@ -344,6 +363,10 @@
 // lookFailed takes a look that got no list. Runs end with their endpoint at once, or with their lease.
 func (w *LeasedWorker) lookFailed(now time.Time, err error) {
 	switch {
+	case errors.Is(err, ErrEpochPassed):
+		w.epoch += w.epochStep
+		w.epochStep *= 2
+		w.log.Warn("endpoint: has seen a higher epoch", "endpoint", w.life.id, "epoch", w.epoch)
 	case errors.Is(err, ErrEndpointGone):
 		w.endAll("the endpoint is down")
 		w.listed = false
@@ -362,6 +385,7 @@
 	w.endAll("the endpoint has started anew")
 	w.log.Info("endpoint: new life", "endpoint", life.id, "born", life.born, "address", life.address)
 	w.life = life
+	w.epoch = max(w.epoch+1, uint64(now.UnixMilli()))
 	w.announcement.sequence = 0
 	w.announcement.draining = false
 	w.cursor, w.clock, w.listed, w.answeredAt = 0, 0, false, now
--- a/hibiscussoak/soak_test.go
+++ b/hibiscussoak/soak_test.go
@@ -31,7 +31,9 @@
 	seed   uint64
 	length time.Duration
 	cause  string
-}{}
+}{
+	{412, 15 * time.Second, "a start without an answer is carried out by the next life of its worker, which has forgotten the stop"},
+}
 
 func buildBinary(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "hibiscusrouter")
