--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -170,11 +169,6 @@
 		min(max(needed-useful, minRetryAfter), maxRetryAfter))
 }
 
-// inflowAt returns how many slots the work takes that has lately been admitted to be in time.
-func (p *pool) inflowAt(now time.Time) float64 {
-	return p.inflow * math.Exp(-float64(now.Sub(p.inflowSince))/float64(inflowTime))
-}
-
 // checkDeadline refuses at once what can't be in time. While nothing waits, every job is taken: its run times may be
 // declared or learned too long, and only a run corrects them.
 func (d *Dispatcher) checkDeadline(now time.Time, s *Submission) *Answer {
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -101,30 +101,6 @@
 	reply      func(*Answer)
 }
 
-// pool is one service's queue and workers at this entry.
-type pool struct {
-	service  string
-	queue    *hibiscusstate.FairQueue
-	runTimes *hibiscusstate.RunTimes
-	heap     *hibiscusstate.WorkerHeap
-	// unit is how many slots a task of the service usually takes; a worker with fewer free ones counts as full.
-	unit     int
-	meanSlot float64
-	// largest is the most slots that an endpoint offers, seen at most a tick ago.
-	largest int
-	slots   int
-	live    int
-	usable  float64
-	longs   int
-	// inflow is how many slots the work takes that was admitted to be in time, as of inflowSince.
-	inflow      float64
-	inflowSince time.Time
-	failures    float64
-	slowness    float64
-	retries     float64
-	totals      serviceTotals
-}
-
 // assignment is a worker with the tasks of this entry that it has.
 type assignment struct {
 	worker *hibiscusstate.Worker
@@ -487,15 +463,3 @@
 	}
 	return NewJobAnswer(job.Key(), job.State(), tasks)
 }
-
-func (d *Dispatcher) pool(service string) *pool {
-	p := d.pools[service]
-	if p == nil {
-		p = &pool{
-			service: service, queue: hibiscusstate.NewFairQueue(), runTimes: hibiscusstate.NewRunTimes(),
-			heap: hibiscusstate.NewWorkerHeap(), unit: 1, slowness: 1,
-		}
-		d.pools[service] = p
-	}
-	return p
-}
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -11,12 +11,6 @@
 // What happens in a Dispatcher because time passes: deadlines, views that grow old, workers that stay away, records that
 // have been kept long enough.
 
-// capacityWeight is the weight of the newest look at the slots of a service, one each tick.
-const capacityWeight = 0.2
-
-// toldViewAge is the same where agents say when they have room: a message may be lost with its session only.
-const toldViewAge = 2 * time.Second
-
 // Tick does what is due at now.
 func (d *Dispatcher) Tick(now time.Time) {
 	if d.startedAt.IsZero() {
@@ -114,31 +108,6 @@
 	a.update()
 }
 
-// viewAge returns how old the view of a full worker has to be to be doubted.
-func (p *pool) viewAge() time.Duration {
-	if p.unit > 1 {
-		// Agents whose workers run many tasks at once say when they have room.
-		return toldViewAge
-	}
-	return max(2*p.runTimes.Usual(), tickInterval)
-}
-
-// observeCapacity follows how many slots this entry has or could have: those with its tasks and those that look free.
-// While several entries have work waiting, none gets all slots, and none knows beforehand which part it gets.
-func (p *pool) observeCapacity(entries int) {
-	slots := 0
-	p.largest = 0
-	for i := range p.heap.Len() {
-		w := p.heap.At(i)
-		p.largest = max(p.largest, w.Slots())
-		slots += min(w.InFlight()+max(w.Free(), 0), w.LiveSlots())
-	}
-	if p.usable == 0 {
-		p.usable = float64(p.live) / float64(entries)
-	}
-	p.usable += (float64(slots) - p.usable) * capacityWeight
-}
-
 // evict forgets the oldest finished jobs that are past their time or past the bounds.
 func (d *Dispatcher) evict(now time.Time) {
 	for e := d.finished.Front(); e != nil; e = d.finished.Front() {
--- a/hibiscuscoordination/membership.go
+++ b/hibiscuscoordination/membership.go
@@ -162,15 +162,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	rows, err := m.seams.list(ctx)
-	if err != nil {
-		return
-	}
 	for _, r := range rows {
 		if r.member.incarnation == own.member.incarnation {
-			// A row that stays is removed by another entry once its counter stood still.
-			_ = m.seams.remove(ctx, r)
+			err = m.seams.remove(ctx, r)
 		}
 	}
+	if err != nil {
+		// A row that stays is removed by another entry once its counter stood still.
+		m.log.Info("membership: own row stays", "cause", err.Error())
+	}
 }
 
 // RunAgent tells the agent about the entries in the table until ctx is done.
--- a/hibiscuscoordination/named.go
+++ b/hibiscuscoordination/named.go
@@ -16,9 +16,6 @@
 // an answer up to three times the objective.
 const lateFactor = 3
 
-// slotsWeight is the weight of the newest task in the usual number of slots of a task.
-const slotsWeight = 1.0 / 32
-
 // SubmitNamed admits, joins or refuses a named submission; caller names the connection that waits, for Leave.
 func (d *Dispatcher) SubmitNamed(now time.Time, s *Submission, caller uint64, reply func(*Answer)) {
 	s.caller = caller
@@ -110,18 +107,6 @@
 	return best
 }
 
-// observeSlots follows how many slots a task usually takes. The heap is ordered anew when that has changed by an eighth.
-func (p *pool) observeSlots(slots int) {
-	if p.meanSlot == 0 {
-		p.meanSlot = float64(slots)
-	}
-	p.meanSlot += (float64(slots) - p.meanSlot) * slotsWeight
-	if unit := int(p.meanSlot); unit > p.unit+p.unit/8 || unit < p.unit-p.unit/8 {
-		p.unit = max(unit, 1)
-		p.heap.SetUnit(p.unit)
-	}
-}
-
 // setTimes sets when a job is due and from when on its answer is of no use.
 func (d *Dispatcher) setTimes(now time.Time, job *hibiscusstate.Job, longest time.Duration) {
 	kind := d.kind(job.Service(), job.Task(0).Kind())
--- a/hibiscusstate/queue_test.go
+++ b/hibiscusstate/queue_test.go
@@ -102,3 +102,27 @@
 		convey.So(popped, convey.ShouldResemble, []*Task{urgent, early, late})
 	})
 }
+
+// TestNearlyDoneJobs guards against a job of which most has run, and whose last task yields to all others until it is given up: the
+// work of the others was for nothing.
+func TestNearlyDoneJobs(t *testing.T) {
+	start := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	next := func(tasks, waiting int) (job uint64) {
+		q := NewFairQueue()
+		push := func(sequence uint64, due time.Duration, n, waiting int) {
+			job := NewJob(NewSubmissionKey(1, sequence), 0, "callers", "sighting", start, start.Add(time.Hour))
+			job.AddTasks(make([]TaskSpec, n))
+			job.SetObjective(start.Add(due), start.Add(3*due), false)
+			for i := range waiting {
+				job.Task(i).SetExpected(50*time.Millisecond, false)
+				q.Push(job.Task(i))
+			}
+		}
+		push(1, 100*time.Millisecond, tasks, waiting)
+		push(2, 200*time.Millisecond, 1, 1)
+		return q.Pop(start.Add(80*time.Millisecond), true).ID().Key().Sequence()
+	}
+	convey.Convey("a late job yields, unless no more than a fifth of it waits", t, func() {
+		convey.So([]uint64{next(10, 10), next(10, 3), next(10, 2), next(1, 1)}, convey.ShouldResemble, []uint64{2, 2, 1, 2})
+	})
+}
