Stop processes calmly at the end of each run of the soak

Cause: the check that a planned stop cuts no request needs nine seconds without another fault, which a plan hardly ever has, so that it could not fail. Change: when all faults are over, an entry and then an agent are asked to stop under load.

--- a/hibiscussoak/soak.go
+++ b/hibiscussoak/soak.go
@@ -95,11 +95,16 @@
 		duties.Go(func() { f.watchVersions(watching, n) })
 	}
 	f.play(ctx, plan)
-	jobs := l.finish()
+	l.finish()
 	f.checkCalm(ctx)
+	stopping, stopStops := context.WithCancel(ctx)
+	defer stopStops()
+	l.run(stopping, o.clients, o.seed+1)
+	f.stopCalmly(ctx, o.seed)
+	stopStops()
+	jobs := l.finish()
 	stopWatch()
 	duties.Wait()
-	l.checks.refusals(l.jobs)
 	return Report{broken: c.broken(), jobs: jobs, faults: len(plan), counts: c.counts}, nil
 }
 
@@ -113,6 +118,16 @@
 	}
 }
 
+// stopCalmly asks an entry and then an agent to stop, under load and with no other fault near.
+func (f *fleet) stopCalmly(ctx context.Context, seed uint64) {
+	f.pause(ctx, contactTime)
+	entry, worker := f.entries[seed%uint64(len(f.entries))], f.workers[seed%uint64(len(f.workers))]
+	for _, p := range []*process{entry.process, worker.process} {
+		f.checks.note("calm stop of %s", p.name)
+		f.stop(ctx, p, fault{kind: faultStop, calm: true})
+	}
+}
+
 // play does the faults of a plan, each at its time, and returns when the last is over.
 func (f *fleet) play(ctx context.Context, plan []fault) {
 	began := time.Now()
