Blame a planned stop only for what its own try has started

The task had been started by the first try at the other entry.

TestCutRequests has both. The binary whose entries do not finish their jobs still breaks the promise.

--- a/hibiscussoak/clients.go
+++ b/hibiscussoak/clients.go
@@ -125,7 +125,7 @@
 		body, jobDeadline)
 	if err != nil {
 		if call.Err() == nil {
-			entry.noteCut(cutRequest{job: j, sent: began, cut: time.Now()})
+			entry.noteCut(cutRequest{job: j, first: j.tries == 1, sent: began, cut: time.Now()})
 		}
 		return answer, err
 	}
--- a/hibiscussoak/faults.go
+++ b/hibiscussoak/faults.go
@@ -217,7 +217,7 @@
 		}
 		for _, c := range entry.cutBetween(began, began.Add(took+restartTime)) {
 			started := f.seen.Started(c.job.id, c.job.tasks)
-			if c.cut.Sub(c.sent) > lossSlack || started {
+			if c.breaks(started) {
 				f.checks.fault("a planned stop of %s cut job %s %d ms after it was sent, started %t",
 					p.name, c.job.id, c.cut.Sub(c.sent).Milliseconds(), started)
 			}
--- a/hibiscussoak/fleet.go
+++ b/hibiscussoak/fleet.go
@@ -50,11 +50,18 @@
 	cuts     []cutRequest
 }
 
-// cutRequest is a request whose connection ended without an answer.
+// cutRequest is a request whose connection ended without an answer; first says that it was the first try of its job.
 type cutRequest struct {
-	job  *tried
-	sent time.Time
-	cut  time.Time
+	job   *tried
+	first bool
+	sent  time.Time
+	cut   time.Time
+}
+
+// breaks says whether a planned stop must not have cut the request: it was held for too long, or its job was started. Of a later
+// try that can't be said, because an earlier one, at another entry, may have started the job.
+func (c cutRequest) breaks(started bool) bool {
+	return c.cut.Sub(c.sent) > lossSlack || c.first && started
 }
 
 func (n *entryNode) noteCut(c cutRequest) {
--- a/hibiscussoak/soak_test.go
+++ b/hibiscussoak/soak_test.go
@@ -115,6 +115,19 @@
 	})
 }
 
+// TestCutRequests guards against cut requests that the soak forgives, and against one that it blames on a stop for a task that an
+// earlier try has started at another entry (seed 1, beside a loaded machine).
+func TestCutRequests(t *testing.T) {
+	Convey("A cut is broken when it was held for long, or its own try was started", t, func() {
+		now := time.Now()
+		breaks := func(first, started bool, held time.Duration) bool {
+			return cutRequest{first: first, sent: now, cut: now.Add(held)}.breaks(started)
+		}
+		So([]bool{breaks(true, true, 0), breaks(true, false, 0), breaks(false, true, 0)}, ShouldResemble, []bool{true, false, false})
+		So([]bool{breaks(true, false, 2*lossSlack), breaks(false, false, 2*lossSlack)}, ShouldResemble, []bool{true, true})
+	})
+}
+
 // TestProxy guards against a proxy whose modes do something else: the faults of a run would not be those of its plan.
 func TestProxy(t *testing.T) {
 	server, err := net.Listen("tcp", "127.0.0.1:0")
