--- a/hibiscuscoordination/slot_keeper_test.go
+++ b/hibiscuscoordination/slot_keeper_test.go
@@ -160,11 +160,13 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "slot_keeper_rejections", []byte(strings.Join(s.sorted(), "\n")+"\n"))
 }
 
-// sorted puts neighbouring capacity messages in the order of the entries; the keeper goes through a map of them.
+// sorted puts neighbouring capacity messages, and neighbouring loads, in the order of the entries; the keeper goes through a map of
+// them.
 func (s *keeperSession) sorted() []string {
 	lines := slices.Clone(s.lines)
 	for i := 1; i < len(lines); i++ {
-		if strings.Contains(lines[i], "capacity") && strings.Contains(lines[i-1], "capacity") && lines[i] < lines[i-1] {
+		both := func(what string) bool { return strings.Contains(lines[i], what) && strings.Contains(lines[i-1], what) }
+		if (both("capacity") || both(": load ")) && lines[i] < lines[i-1] {
 			lines[i], lines[i-1] = lines[i-1], lines[i]
 		}
 	}
