Send a version to a process once

All 14 entries read a version from the store at the same moment, and each sent it to all 90 processes; several versions of hundreds of queues in a few seconds filled links of 25 Mbit/s and the agents' memory. Entry th-central-c-3 never had versions 10 and 13.

Change: at once, only the entry that ranks first for a process sends it the version; all look every second who still lacks it. The frame reader keeps eight decoded configurations instead of one. TestVersionIsPushedOnce had two copies at each agent.

The tests of hibiscusprocess pass; a push that was ranked for operators' own edits too had delayed TestTableOutage by a second and was dropped.

--- a/hibiscuscoordination/configuration.go
+++ b/hibiscuscoordination/configuration.go
@@ -165,24 +165,28 @@
 func (e *Entry) repeatConfiguration() error {
 	return e.duty.do(func(now time.Time) {
 		maps.DeleteFunc(e.lost, func(_ hibiscusstate.Incarnation, a lostAgent) bool { return now.After(a.until) })
-		e.pushConfiguration()
+		e.pushConfiguration(false)
 	})
 }
 
-func (e *Entry) pushConfiguration() {
+// pushConfiguration sends the version in force to the processes that have a lower one; at once only to those for which this entry
+// ranks first. All entries read a version at the same moment, and 14 that each sent 350 queues to 90 processes filled their links
+// and the memory of the agents. The others get it from repeatConfiguration, should the first entry not have it.
+func (e *Entry) pushConfiguration(onlyRankedFirst bool) {
 	c := e.dispatcher.Configuration()
 	if c == nil {
 		return
 	}
-	for _, p := range e.agents {
-		if p.version < c.Version() {
+	push := func(id hibiscusstate.Incarnation, p *Peer) {
+		if p.version < c.Version() && (!onlyRankedFirst || e.dispatcher.ranksFirst(id)) {
 			p.Send(NewConfigurationMessage(c))
 		}
 	}
-	for _, sessions := range e.peers {
-		if p := sessions[0]; p.version < c.Version() {
-			p.Send(NewConfigurationMessage(c))
-		}
+	for id, p := range e.agents {
+		push(id, p)
+	}
+	for id, sessions := range e.peers {
+		push(id, sessions[0])
 	}
 }
 
--- a/hibiscuscoordination/configuration_feed.go
+++ b/hibiscuscoordination/configuration_feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,9 @@
 func (f *ConfigurationFeed) Run(ctx context.Context) {
 	wait := time.AfterFunc(peerWait, f.entry.releaseReady)
 	defer wait.Stop()
+	var repeats sync.WaitGroup
+	defer repeats.Wait()
+	repeats.Go(func() { f.repeat(ctx) })
 	pause, limit := feedRetry, firstRead
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithTimeout(ctx, limit)
@@ -83,6 +87,32 @@
 	}
 }
 
+// follow puts a version in force that all entries read from the table at the same moment.
+func (e *Entry) follow(c *hibiscusstate.Configuration) error {
+	return e.duty.do(func(now time.Time) {
+		if e.adopt(now, c) {
+			e.pushConfiguration(true)
+		}
+	})
+}
+
+// repeat sends the version in force to those who lack it, until ctx is done.
+func (f *ConfigurationFeed) repeat(ctx context.Context) {
+	ticker := time.NewTicker(configurationPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if f.entry.repeatConfiguration() != nil {
+			// The process is stopping.
+			return
+		}
+	}
+}
+
 // take puts a version in force.
 func (f *ConfigurationFeed) take(c *hibiscusstate.Configuration, position FeedPosition, err error) (FeedPosition, error) {
 	if err != nil {
@@ -95,5 +125,5 @@
 	if c == nil {
 		return position, nil
 	}
-	return position, f.entry.Configure(c)
+	return position, f.entry.follow(c)
 }
--- a/hibiscuscoordination/configuration_test.go
+++ b/hibiscuscoordination/configuration_test.go
@@ -1,9 +1,11 @@
 package hibiscuscoordination
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -27,3 +29,48 @@
 		So(said, ShouldResemble, []uint64{2, 3, 3, 3, 4})
 	})
 }
+
+// TestVersionIsPushedOnce guards against a version that every entry sends to every process at the moment when all entries read it
+// from the table: with 14 entries, 90 processes and 350 queues, the links and the memory of the agents were full of copies.
+func TestVersionIsPushedOnce(t *testing.T) {
+	Convey("Two entries read a version at the same moment", t, func() {
+		now := time.Unix(1_000_000, 0)
+		const agents = 20
+		copies := map[hibiscusstate.Incarnation]int{}
+		var entries []*Entry
+		for i := range 2 {
+			incarnation := hibiscusstate.Incarnation(i + 1)
+			e := NewEntry(NewIdentity(incarnation, fmt.Sprintf("10.0.1.%d:7200", incarnation), "a"), func(Event) {},
+				slog.New(slog.NewTextHandler(io.Discard, nil)))
+			e.dispatcher.SetEntries([]hibiscusstate.Incarnation{1, 2})
+			for a := range agents {
+				id := hibiscusstate.Incarnation(100 + a)
+				e.agents[id] = NewPeer(NewHello(RoleAgent, id, fmt.Sprintf("10.0.2.%d:7300", a), "a", 0, Capacity{}), func(Message) bool {
+					copies[id]++
+					return true
+				}, func() {})
+			}
+			entries = append(entries, e)
+		}
+		count := func() (least, most int) {
+			least = agents
+			for a := range agents {
+				n := copies[hibiscusstate.Incarnation(100+a)]
+				least, most = min(least, n), max(most, n)
+			}
+			return least, most
+		}
+		for _, e := range entries {
+			So(e.adopt(now, hibiscusstate.NewConfiguration(3, "", hibiscusstate.NewDocument(nil, nil))), ShouldBeTrue)
+			e.pushConfiguration(true)
+		}
+		least, most := count()
+		So([]int{least, most}, ShouldResemble, []int{1, 1})
+		// Only the entry that ranks second has the next version; the others get it a second later.
+		So(entries[0].adopt(now, hibiscusstate.NewConfiguration(4, "", hibiscusstate.NewDocument(nil, nil))), ShouldBeTrue)
+		entries[0].pushConfiguration(true)
+		entries[0].pushConfiguration(false)
+		least, _ = count()
+		So(least, ShouldEqual, 2)
+	})
+}
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -245,7 +245,7 @@
 // configure puts a version in force that came from the table or an operator, and pushes it to all who have a lower one.
 func (e *Entry) configure(now time.Time, c *hibiscusstate.Configuration) {
 	if e.adopt(now, c) {
-		e.pushConfiguration()
+		e.pushConfiguration(false)
 	}
 }
 
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -2,7 +2,7 @@
 
 import (
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -418,21 +418,32 @@
 	return a.WithRetryAfter(microseconds(f.GetRetryAfterUs()))
 }
 
-// lastConfiguration is the one that was decoded last. Every entry sends each version to every process, and with 14 entries an
-// agent that parsed 350 kinds each time did nothing else for two seconds.
-var lastConfiguration atomic.Pointer[hibiscusstate.Configuration]
+// keptConfigurations is how many decoded configurations are kept: several versions may be under way at a time, each from several
+// entries, and a process that parsed 350 kinds for each copy did nothing else for seconds.
+const keptConfigurations = 8
+
+// decodedConfigurations are those that were decoded last, the newest first.
+var decodedConfigurations struct {
+	mu   sync.Mutex
+	kept []*hibiscusstate.Configuration
+}
 
 func (in *frameReader) configuration(c *hibiscuswire.Configuration) *hibiscusstate.Configuration {
-	if last := lastConfiguration.Load(); last != nil && last.Version() == c.GetVersion() && last.Text() == c.GetText() {
-		return last
+	d := &decodedConfigurations
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, kept := range d.kept {
+		if kept.Version() == c.GetVersion() && kept.Text() == c.GetText() {
+			return kept
+		}
 	}
 	document, err := ParseText("configuration", []byte(c.GetText()))
+	configuration := hibiscusstate.NewConfiguration(c.GetVersion(), c.GetText(), document)
 	if err != nil {
 		in.fail("configuration version %d: %v", c.GetVersion(), err)
-		return hibiscusstate.NewConfiguration(c.GetVersion(), c.GetText(), document)
+		return configuration
 	}
-	configuration := hibiscusstate.NewConfiguration(c.GetVersion(), c.GetText(), document)
-	lastConfiguration.Store(configuration)
+	d.kept = append([]*hibiscusstate.Configuration{configuration}, d.kept[:min(len(d.kept), keptConfigurations-1)]...)
 	return configuration
 }
 
