--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -33,14 +33,6 @@
 // orders, pings are repeated, and later reports carry the load.
 
 const (
-	// pingAfter and silentAfter apply while task frames move: an unresponsive connection is detected within a second.
-	pingAfter   = 400 * time.Millisecond
-	silentAfter = 900 * time.Millisecond
-	// idlePingAfter and idleSilentAfter apply otherwise, to stay within 8 KB/s for twelve sessions of a node.
-	idlePingAfter   = time.Second
-	idleSilentAfter = 2500 * time.Millisecond
-	// activeFor is how long after a task frame the short times apply.
-	activeFor = 2 * time.Second
 	// finishTimeout is how long the peer may take to close a session that this end has finished.
 	finishTimeout = time.Second
 
@@ -63,6 +55,7 @@
 	up      func(*hibiscuscoordination.Peer) error
 	message func(*hibiscuscoordination.Peer, hibiscuscoordination.Message) error
 	down    func(*hibiscuscoordination.Peer) error
+	now     func() time.Time
 }
 
 // NewSessionHandlers returns the handlers of a process: hello returns its hello, and up, message and down are called in this order
@@ -73,28 +66,31 @@
 	message func(*hibiscuscoordination.Peer, hibiscuscoordination.Message) error,
 	down func(*hibiscuscoordination.Peer) error,
 ) SessionHandlers {
-	return SessionHandlers{hello: hello, up: up, message: message, down: down}
+	return SessionHandlers{hello: hello, up: up, message: message, down: down, now: time.Now}
+}
+
+// WithClock sets the clock by which the session measures silence.
+func (h SessionHandlers) WithClock(now func() time.Time) SessionHandlers {
+	h.now = now
+	return h
 }
 
 // Session is one connection between two processes of the system.
 type Session struct {
-	handlers     SessionHandlers
-	log          *slog.Logger
-	mux          *yamux.Session
-	control      *stream
-	tasks        *stream
-	peer         *hibiscuscoordination.Peer
-	lastReceived atomic.Int64
-	// activeSince and lastTaskFrame are the times of the first and the last task frame of a period in which task frames move.
-	activeSince   atomic.Int64
-	lastTaskFrame atomic.Int64
-	openReaders   atomic.Int32
-	finishOnce    sync.Once
-	finished      chan struct{}
-	overflow      chan hibiscuscoordination.MessageKind
-	closeOnce     sync.Once
-	closed        chan struct{}
-	cause         error
+	handlers    SessionHandlers
+	log         *slog.Logger
+	mux         *yamux.Session
+	control     *stream
+	tasks       *stream
+	peer        *hibiscuscoordination.Peer
+	activity    *activity
+	openReaders atomic.Int32
+	finishOnce  sync.Once
+	finished    chan struct{}
+	overflow    chan hibiscuscoordination.MessageKind
+	closeOnce   sync.Once
+	closed      chan struct{}
+	cause       error
 }
 
 // stream is one yamux stream with the ring of its writer.
@@ -111,7 +107,7 @@
 ) error {
 	s := &Session{
 		handlers: handlers, log: log, closed: make(chan struct{}), finished: make(chan struct{}),
-		overflow: make(chan hibiscuscoordination.MessageKind, 1),
+		overflow: make(chan hibiscuscoordination.MessageKind, 1), activity: newActivity(handlers.now()),
 	}
 	if err := s.open(conn, secret, dialer); err != nil {
 		conn.Close()
@@ -164,7 +160,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return errors.Mark(err, ErrSession)
 	}
-	s.noteReceived()
+	s.activity.received(s.handlers.now())
 	s.peer = hibiscuscoordination.NewPeer(hello, s.send, s.finish)
 	s.openReaders.Store(2)
 	return nil
@@ -294,7 +290,7 @@
 			return
 		}
 		if st == s.tasks {
-			s.noteTaskFrame(time.Now())
+			s.activity.taskFrame(s.handlers.now())
 		}
 		if err := st.writeBatch(buf, batch[:n]); err != nil {
 			s.close(err)
@@ -338,9 +334,9 @@
 			s.close(err)
 			return
 		}
-		s.noteReceived()
+		s.activity.received(s.handlers.now())
 		if st == s.tasks {
-			s.noteTaskFrame(time.Now())
+			s.activity.taskFrame(s.handlers.now())
 		}
 		if m.Kind() == hibiscuscoordination.MessagePing {
 			s.send(hibiscuscoordination.NewPongMessage())
@@ -371,29 +367,6 @@
 	return hibiscusprotocol.DecodeFrame(b)
 }
 
-func (s *Session) noteReceived() { s.lastReceived.Store(time.Now().UnixNano()) }
-
-// noteTaskFrame records that a task frame was sent or received.
-func (s *Session) noteTaskFrame(now time.Time) {
-	if now.Sub(time.Unix(0, s.lastTaskFrame.Load())) >= activeFor {
-		s.activeSince.Store(now.UnixNano())
-	}
-	s.lastTaskFrame.Store(now.UnixNano())
-}
-
-// silenceLimits returns the time since which nothing was received, and how long after it this end pings and then closes the
-// session. The short times count from the first task frame: an idle session may legitimately receive nothing for a second.
-func (s *Session) silenceLimits(now time.Time) (since time.Time, ping, silent time.Duration) {
-	since = time.Unix(0, s.lastReceived.Load())
-	if now.Sub(time.Unix(0, s.lastTaskFrame.Load())) >= activeFor {
-		return since, idlePingAfter, idleSilentAfter
-	}
-	if from := time.Unix(0, s.activeSince.Load()); from.After(since) {
-		since = from
-	}
-	return since, pingAfter, silentAfter
-}
-
 // watchdog is the watchdog goroutine. It pings after a time without traffic, and closes the session if still nothing arrives, if
 // the peer does not close a finished session, or if the send ring is full.
 func (s *Session) watchdog() {
@@ -421,23 +394,22 @@
 			return
 		case <-timer.C:
 		}
-		now := time.Now()
-		since, ping, silent := s.silenceLimits(now)
-		quiet := now.Sub(since)
+		now := s.handlers.now()
+		quiet, ping, silent := s.activity.silence(now)
 		if quiet >= silent {
 			s.close(errors.Mark(errors.Newf("nothing was received for %v", quiet.Round(time.Millisecond)), ErrSilent))
 			return
 		}
-		if quiet >= ping && pinged.Before(since.Add(ping)) {
+		if quiet >= ping && now.Sub(pinged) > quiet-ping {
 			pinged = now
 			s.send(hibiscuscoordination.NewPingMessage())
 		}
-		next := since.Add(ping)
-		if !next.After(now) {
-			next = since.Add(silent)
+		next := ping - quiet
+		if next <= 0 {
+			next = silent - quiet
 		}
 		// The short times may become effective at any moment, so check at least that often.
-		timer.Reset(min(next.Sub(now), pingAfter))
+		timer.Reset(min(next, pingAfter))
 	}
 }
 
