--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -59,6 +59,9 @@
 	return a
 }
 
+// SetClock sets the clock of the event loop; it must be called before Run.
+func (a *Agent) SetClock(c *Clock) { a.loop.clock = c }
+
 // Run executes the event loop until Stop, and then waits for the runners.
 func (a *Agent) Run() {
 	a.loop.run()
--- a/hibiscuscoordination/agent_test.go
+++ b/hibiscuscoordination/agent_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
 	"github.com/smartystreets/goconvey/convey"
 
+	"hibiscusrouter/hibiscusstandin"
 	"hibiscusrouter/hibiscusstate"
 )
 
@@ -46,3 +49,51 @@
 
 // ignoreError drops the error of a command for an event loop that has not stopped.
 func ignoreError(error) {}
+
+// TestAgentAfterSuspension guards against an order that an agent starts after its VM was suspended for longer than the entry's lease:
+// the entry has started the task elsewhere meanwhile, and the steady clock does not count the suspension. A jump of the time of day
+// must not make the agent reject orders.
+func TestAgentAfterSuspension(t *testing.T) {
+	var lines []string
+	for _, c := range []struct {
+		name   string
+		change func(c *hibiscusstandin.Clock)
+	}{
+		{"nothing happens", func(*hibiscusstandin.Clock) {}},
+		{"the VM is suspended for 1 s", func(c *hibiscusstandin.Clock) { c.Suspend(time.Second) }},
+		{"the VM is suspended for 5 s", func(c *hibiscusstandin.Clock) { c.Suspend(5 * time.Second) }},
+		{"the time of day jumps forward by 5 s", func(c *hibiscusstandin.Clock) { c.Step(5 * time.Second) }},
+		{"the time of day jumps back by 5 s", func(c *hibiscusstandin.Clock) { c.Step(-5 * time.Second) }},
+		{"the VM is suspended for 5 s and the time of day is set back", func(c *hibiscusstandin.Clock) {
+			c.Suspend(5 * time.Second)
+			c.Step(-4 * time.Second)
+		}},
+	} {
+		synctest.Test(t, func(*testing.T) {
+			a := NewAgent(NewIdentity(9, "10.0.2.1:7300", "a"), func(context.Context, hibiscusstate.Order) RunResult {
+				lines = append(lines, c.name+": started")
+				return NewRunResult(hibiscusstate.OutcomeFinished, nil, "")
+			}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			clock := hibiscusstandin.NewClock()
+			a.SetClock(NewClock(clock.Now, clock.Suspended))
+			p := NewPeer(NewHello(RoleEntry, 1, "10.0.1.1:7200", "a", 0, Capacity{}), func(m Message) bool {
+				for _, r := range m.Reports() {
+					if r.Status() == hibiscusstate.StatusRejected {
+						lines = append(lines, c.name+": rejected, "+r.Rejection().String())
+					}
+				}
+				return true
+			}, func() {})
+			ignoreError(a.Announce("checks", hibiscusstate.NewResources(1, 0, 0)))
+			ignoreError(a.PeerUp(p))
+			go a.Run()
+			time.Sleep(time.Second)
+			c.change(clock)
+			ignoreError(a.PeerMessage(p, NewOrdersMessage(newOrders(1, 0, 1))))
+			time.Sleep(time.Second)
+			a.Stop()
+			synctest.Wait()
+		})
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "agent_suspension", []byte(strings.Join(lines, "\n")+"\n"))
+}
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -93,6 +93,9 @@
 	return rand.N(d)
 }
 
+// SetClock sets the clock of the event loop; it must be called before Run.
+func (e *Entry) SetClock(c *Clock) { e.loop.clock = c }
+
 // Run executes the event loop until Stop.
 func (e *Entry) Run() { e.loop.run() }
 
--- a/hibiscuscoordination/event_loop.go
+++ b/hibiscuscoordination/event_loop.go
@@ -21,6 +21,7 @@
 
 // eventLoop runs queued commands, and timers between them.
 type eventLoop struct {
+	clock      *Clock
 	ring       *hibiscusstate.Ring[command]
 	afterBatch func(now time.Time)
 	nextWake   func(now time.Time) time.Time
@@ -29,19 +30,21 @@
 // newEventLoop returns an event loop; afterBatch runs after each batch of commands, and at the time that nextWake returns if no
 // command arrives before.
 func newEventLoop(afterBatch func(now time.Time), nextWake func(now time.Time) time.Time) *eventLoop {
-	return &eventLoop{ring: hibiscusstate.NewRing[command](commandRingCapacity), afterBatch: afterBatch, nextWake: nextWake}
+	return &eventLoop{
+		clock: newRuntimeClock(), ring: hibiscusstate.NewRing[command](commandRingCapacity), afterBatch: afterBatch, nextWake: nextWake,
+	}
 }
 
 // run executes commands until the ring is closed and empty.
 func (l *eventLoop) run() {
 	batch := make([]command, commandBatchSize)
 	for {
-		now := time.Now()
+		now := l.clock.read()
 		n, err := l.ring.PopBatch(batch, max(l.nextWake(now).Sub(now), 0))
 		if err != nil {
 			return
 		}
-		now = time.Now()
+		now = l.clock.read()
 		for i := range n {
 			batch[i](now)
 			batch[i] = nil
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -41,6 +41,7 @@
 		},
 		func() error { return a.coordination.Leave() })
 	a.coordination = hibiscuscoordination.NewAgent(identity, a.execute, log)
+	a.coordination.SetClock(hibiscustransport.NewClock())
 	return a
 }
 
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -77,6 +77,7 @@
 		tableCounters:       func() hibiscuscoordination.TableCounters { return hibiscuscoordination.TableCounters{} },
 		droppedAuditEntries: func() uint64 { return 0 },
 	}
+	e.coordination.SetClock(hibiscustransport.NewClock())
 	if settings.PlatformAddress() != "" {
 		e.platform = newEntryPlatform(settings, e.coordination, network, log)
 		e.tableCounters, e.droppedAuditEntries = e.platform.tableCounters, e.platform.auditWriter.Dropped
--- /dev/null
+++ b/hibiscustransport/clock.go
@@ -0,0 +1,12 @@
+package hibiscustransport
+
+import (
+	"time"
+
+	"hibiscusrouter/hibiscuscoordination"
+)
+
+// NewClock returns the clock of the host for one event loop.
+func NewClock() *hibiscuscoordination.Clock {
+	return hibiscuscoordination.NewClock(time.Now, suspendedTime)
+}
