--- a/hibiscuscommand/platform.go
+++ b/hibiscuscommand/platform.go
@@ -27,7 +27,7 @@
 	entry *hibiscusprocess.Entry, settings hibiscusprotocol.EntrySettings, network hibiscustransport.Network, log *slog.Logger,
 ) {
 	coordination := entry.Coordination()
-	store := hibiscusplatform.NewStore(hibiscusplatform.NewStoreClient(network), settings.PlatformAddress())
+	store := hibiscusplatform.NewStore(hibiscusplatform.NewStoreClient(network), settings.PlatformAddress(), log)
 	configurations := hibiscusplatform.NewConfigurationReader(store, log)
 	members := hibiscusplatform.NewMemberStore(store, log)
 	feed := hibiscuscoordination.NewConfigurationFeed(coordination, configurations.Read, configurations.Next, log)
@@ -47,7 +47,7 @@
 	agent *hibiscusprocess.Agent, settings hibiscusprotocol.AgentSettings, network hibiscustransport.Network, log *slog.Logger,
 ) {
 	coordination := agent.Coordination()
-	store := hibiscusplatform.NewStore(hibiscusplatform.NewStoreClient(network), settings.PlatformAddress())
+	store := hibiscusplatform.NewStore(hibiscusplatform.NewStoreClient(network), settings.PlatformAddress(), log)
 	members := hibiscusplatform.NewMemberStore(store, log)
 	membership := hibiscuscoordination.NewMembership(
 		hibiscuscoordination.NewMembershipSeams(members.List, members.Put, members.Remove), log)
@@ -58,6 +58,7 @@
 		func(id string) error { return worker.WithdrawAnnouncement(id) }, log)
 	worker = hibiscuscoordination.NewLeasedEndpoint(hibiscuscoordination.NewLeasedEndpointSeams(
 		workers.Start, workers.Stop, workers.Poll, coordination.Announce, coordination.Leave), log)
+	worker.SetClock(hibiscustransport.NewClock())
 	agent.UseAdapter(hibiscusprocess.NewAgentAdapter(workers.Mount, worker.Execute,
 		[]func(context.Context){worker.Run},
 		func(ctx context.Context) { membership.RunAgent(ctx, coordination) }))
--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -108,21 +108,26 @@
 	suspendedUntil    time.Time
 	suspension        time.Duration
 	stateKnown        bool
-	log               *slog.Logger
-	wake              chan struct{}
-	goroutines        sync.WaitGroup
+	// gone means that there is no endpoint, or that its runs have ended because it is down or its lease has expired.
+	gone       bool
+	log        *slog.Logger
+	wake       chan struct{}
+	goroutines sync.WaitGroup
 }
 
 // NewLeasedEndpoint returns a LeasedEndpoint without an endpoint.
 func NewLeasedEndpoint(seams LeasedEndpointSeams, log *slog.Logger) *LeasedEndpoint {
 	w := &LeasedEndpoint{
 		seams: seams, runs: map[RunID]*leasedRun{}, orphans: map[RunID]bool{}, endedRuns: map[RunID]uint64{}, log: log,
-		wake: make(chan struct{}, 1), epoch: uint64(time.Now().UnixMilli()), epochStep: initialEpochStep,
+		wake: make(chan struct{}, 1), gone: true, epoch: uint64(time.Now().UnixMilli()), epochStep: initialEpochStep,
 	}
 	w.loop = newEventLoop(func(time.Time) {}, func(now time.Time) time.Time { return now.Add(time.Second) })
 	return w
 }
 
+// SetClock sets the clock of the event loop; it must be called before Run.
+func (w *LeasedEndpoint) SetClock(c *Clock) { w.loop.clock = c }
+
 // Run executes the event loop and polls the endpoint until ctx is done.
 func (w *LeasedEndpoint) Run(ctx context.Context) {
 	w.goroutines.Go(w.loop.run)
@@ -135,13 +140,13 @@
 	w.goroutines.Wait()
 }
 
-// Announce processes an announcement of the endpoint before it returns. An announcement of an earlier incarnation, or one
-// older than the last, is ignored.
+// Announce processes an announcement of the endpoint before it returns. One that is outdated, or of another endpoint while the
+// current one is in use, is ignored.
 func (w *LeasedEndpoint) Announce(a Announcement) error {
 	_, err := runAndWait(w.loop, func(now time.Time) bool {
-		if a.incarnation.startMs < w.incarnation.startMs || a.incarnation == w.incarnation && a.sequence <= w.announcement.sequence {
+		if !w.isCurrent(a) && !w.isSuccessor(a.incarnation) {
 			w.log.Warn("endpoint: outdated announcement ignored", "endpoint", a.incarnation.id, "born", a.incarnation.startMs,
-				"sequence", a.sequence)
+				"sequence", a.sequence, "service", a.service, "address", a.incarnation.address)
 			return false
 		}
 		if a.incarnation != w.incarnation {
@@ -165,6 +170,29 @@
 	return nil
 }
 
+// isCurrent reports whether an announcement is the next one of the current incarnation, which never changes its service.
+func (w *LeasedEndpoint) isCurrent(a Announcement) bool {
+	return a.incarnation == w.incarnation && a.sequence > w.announcement.sequence &&
+		(w.announcement.incarnation != w.incarnation || w.announcement.service == a.service)
+}
+
+// isSuccessor reports whether another incarnation replaces the current one. Runs of the current one may be in progress until it is
+// gone. Until then only its own restart replaces it, and not an announcement of another writer. A restart has a later start, unless
+// the time of day was set back; so once the current one is gone, any incarnation is tried: it gets no tasks before its first list.
+func (w *LeasedEndpoint) isSuccessor(next EndpointIncarnation) bool {
+	current := w.incarnation
+	if next == current {
+		return false
+	}
+	if w.gone {
+		return true
+	}
+	if !w.stateKnown {
+		return next.startMs >= current.startMs
+	}
+	return next.startMs > current.startMs && (next.id == current.id || next.address == current.address)
+}
+
 // WithdrawAnnouncement handles the request of the endpoint with an ID to delete its announcement, because it shuts down.
 func (w *LeasedEndpoint) WithdrawAnnouncement(id string) error {
 	return w.loop.post(func(time.Time) {
@@ -173,7 +201,7 @@
 		}
 		w.log.Info("endpoint: shut down", "endpoint", id, "running", len(w.runs))
 		w.endAllRuns("the endpoint has shut down")
-		w.incarnation = EndpointIncarnation{startMs: w.incarnation.startMs}
+		w.incarnation, w.gone = EndpointIncarnation{}, true
 		w.withdrawOffer("the endpoint has shut down")
 	})
 }
@@ -287,7 +315,7 @@
 		w.startIncarnation(now, NewEndpointIncarnation(w.incarnation.id, response.startMs, w.incarnation.address))
 		return
 	}
-	w.lastAnswerAt = now
+	w.lastAnswerAt, w.gone = now, false
 	w.setClock(now, response.clock)
 	for _, r := range response.ended {
 		w.cursor = max(w.cursor, r.sequence)
@@ -372,13 +400,13 @@
 		w.log.Warn("endpoint: epoch raised, the endpoint has seen a higher one", "endpoint", w.incarnation.id, "epoch", w.epoch)
 	case errors.Is(err, ErrEndpointGone):
 		w.endAllRuns("the endpoint is down")
-		w.stateKnown = false
+		w.stateKnown, w.gone = false, true
 		w.withdrawOffer(err.Error())
 	case now.Sub(w.lastAnswerAt) > maxRenewalSilence:
 		w.withdrawOffer("the endpoint does not answer polls: " + err.Error())
 		if now.After(w.leaseEnd.Add(endpointLeaseDuration/50 + leaseSlack)) {
 			w.endAllRuns("the endpoint does not answer polls and its lease has expired")
-			w.stateKnown = false
+			w.stateKnown, w.gone = false, true
 		}
 	}
 }
@@ -391,7 +419,7 @@
 	w.epoch = max(w.epoch+1, uint64(now.UnixMilli()))
 	w.announcement.sequence = 0
 	w.announcement.draining = false
-	w.cursor, w.endpointClock, w.stateKnown, w.lastAnswerAt = 0, 0, false, now
+	w.cursor, w.endpointClock, w.stateKnown, w.gone, w.lastAnswerAt = 0, 0, false, false, now
 	w.consecutiveStalls, w.suspension, w.suspendedUntil = 0, 0, time.Time{}
 	clear(w.orphans)
 	w.withdrawOffer("the endpoint has restarted")
--- a/hibiscuscoordination/leased_runs.go
+++ b/hibiscuscoordination/leased_runs.go
@@ -182,6 +182,12 @@
 	return PollResponse{startMs: startMs, clock: clock, running: running, ended: ended}
 }
 
+// Running returns the runs in progress.
+func (r PollResponse) Running() []ListedRun { return r.running }
+
+// Ended returns the runs that have ended since the cursor of the poll.
+func (r PollResponse) Ended() []ListedRun { return r.ended }
+
 // LeasedEndpointSeams are the function fields through which a LeasedEndpoint acts.
 type LeasedEndpointSeams struct {
 	start func(ctx context.Context, incarnation EndpointIncarnation, r StartRequest) (result StartResult, clock int64)
--- a/hibiscusprocess/configuration_test.go
+++ b/hibiscusprocess/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"sort"
 	"strings"
@@ -60,7 +61,7 @@
 			return hibiscustransport.ServeHTTP(ctx, l, f.platform.Handler(), time.Second)
 		})
 		table := hibiscusprotocol.NewTableClient(f.newHTTPClient(), platformAddress)
-		f.configurations, f.members = hibiscusprotocol.NewConfigurationStore(table), hibiscusprotocol.NewMemberStore(table)
+		f.configurations, f.members = hibiscusprotocol.NewConfigurationStore(table), hibiscusprotocol.NewMemberStore(table, slog.New(slog.DiscardHandler))
 		f.goroutines.Go(f.observe)
 		session(f)
 		f.close()
@@ -325,7 +326,7 @@
 
 // noteAuditTrail notes the audit trail, newest first.
 func (f *platformDeployment) noteAuditTrail() {
-	entries, err := hibiscusprotocol.NewAuditStore(hibiscusprotocol.NewTableClient(f.newHTTPClient(), platformAddress)).Read(f.ctx, 100)
+	entries, err := hibiscusprotocol.NewAuditStore(hibiscusprotocol.NewTableClient(f.newHTTPClient(), platformAddress), slog.New(slog.DiscardHandler)).Read(f.ctx, 100)
 	f.must(err)
 	for _, e := range entries {
 		f.note("audit: at %d s, %s from %s: %s", e.At().Sub(f.startTime)/time.Second, e.Who(), e.From(), e.What())
--- a/hibiscusprocess/platform.go
+++ b/hibiscusprocess/platform.go
@@ -45,7 +45,7 @@
 	client := hibiscustransport.NewHTTPClient(network, tableConnections)
 	table := hibiscusprotocol.NewTableClient(client, settings.PlatformAddress())
 	configurations := hibiscusprotocol.NewConfigurationStore(table)
-	auditStore := hibiscusprotocol.NewAuditStore(table)
+	auditStore := hibiscusprotocol.NewAuditStore(table, log)
 	return &entryPlatform{
 		entry: entry, tableCounters: table.Counters, configurations: configurations, auditStore: auditStore, address: settings.SessionAddress(),
 		poller:      hibiscuscoordination.NewConfigurationPoller(entry, configurations.Current, configurations.Read, log),
@@ -57,7 +57,7 @@
 }
 
 func newMembership(table *hibiscusprotocol.TableClient, log *slog.Logger) *hibiscuscoordination.Membership {
-	store := hibiscusprotocol.NewMemberStore(table)
+	store := hibiscusprotocol.NewMemberStore(table, log)
 	return hibiscuscoordination.NewMembership(
 		hibiscuscoordination.NewMembershipSeams(store.List, store.Put, store.Remove), log)
 }
--- a/hibiscusprotocol/audit_store.go
+++ b/hibiscusprotocol/audit_store.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -27,10 +28,13 @@
 // AuditStore stores the audit trail.
 type AuditStore struct {
 	table *TableClient
+	log   *slog.Logger
 }
 
 // NewAuditStore returns a store of the audit trail in a table and its object store.
-func NewAuditStore(table *TableClient) *AuditStore { return &AuditStore{table: table} }
+func NewAuditStore(table *TableClient, log *slog.Logger) *AuditStore {
+	return &AuditStore{table: table, log: log}
+}
 
 type auditRow struct {
 	Time        time.Time `json:"time"`
@@ -83,16 +87,19 @@
 	if len(rows) == 0 {
 		return 0, nil
 	}
-	archived := make([]archivedRow, len(rows))
+	archived := make([]archivedRow, 0, len(rows))
 	tx := NewTransaction()
-	for i, r := range rows {
-		archived[i].Key = r.Key()
-		if err := json.Unmarshal([]byte(r.Value()), &archived[i].Entry); err != nil {
-			return 0, markUnavailable(errors.Wrapf(err, "decode audit row %s", r.Key()))
+	for _, r := range rows {
+		// A row that can't be decoded stays in the table.
+		if body, ok := s.decode(r.Key(), r.Value()); ok {
+			archived = append(archived, archivedRow{Key: r.Key(), Entry: body})
+			tx.Delete(r.Key(), r.Version())
 		}
-		tx.Delete(r.Key(), r.Version())
 	}
-	name := archived[0].Key + ".." + strings.TrimPrefix(archived[len(rows)-1].Key, auditPrefix)
+	if len(archived) == 0 {
+		return 0, nil
+	}
+	name := archived[0].Key + ".." + strings.TrimPrefix(archived[len(archived)-1].Key, auditPrefix)
 	if err := s.table.PutObject(ctx, name, []byte(encodeRow(archived))); err != nil {
 		return 0, markUnavailable(err)
 	}
@@ -101,7 +108,17 @@
 		// Another process archived the same rows.
 		return 0, nil
 	}
-	return len(rows), markUnavailable(err)
+	return len(archived), markUnavailable(err)
+}
+
+// decode decodes the value of a row, and reports whether it is valid.
+func (s *AuditStore) decode(key, value string) (auditRow, bool) {
+	var body auditRow
+	if err := json.Unmarshal([]byte(value), &body); err != nil {
+		s.log.Warn("audit: row can't be decoded and is skipped", "key", key, "cause", err.Error())
+		return auditRow{}, false
+	}
+	return body, true
 }
 
 // Read returns the newest entries, at most limit, newest first, from the table and the object store.
@@ -112,11 +129,9 @@
 		return nil, markUnavailable(err)
 	}
 	for _, r := range rows {
-		var body auditRow
-		if err := json.Unmarshal([]byte(r.Value()), &body); err != nil {
-			return nil, markUnavailable(errors.Wrapf(err, "decode audit row %s", r.Key()))
+		if body, ok := s.decode(r.Key(), r.Value()); ok {
+			found[r.Key()] = body
 		}
-		found[r.Key()] = body
 	}
 	if len(found) < limit {
 		if err := s.readObjects(ctx, found, limit); err != nil {
--- a/hibiscusprotocol/configuration_http_test.go
+++ b/hibiscusprotocol/configuration_http_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -28,7 +29,7 @@
 		mount := func(store *hibiscusprotocol.ConfigurationStore) chi.Router {
 			r := chi.NewRouter()
 			hibiscusprotocol.NewConfigurationAPI(
-				hibiscusprotocol.NewAdminAuth("viewer-token-0123", "operator-token-01"), store, hibiscusprotocol.NewAuditStore(b.table),
+				hibiscusprotocol.NewAdminAuth("viewer-token-0123", "operator-token-01"), store, hibiscusprotocol.NewAuditStore(b.table, slog.New(slog.DiscardHandler)),
 				func(c *hibiscusstate.Configuration) error {
 					inForce = c.Version()
 					return nil
--- a/hibiscusprotocol/errors.go
+++ b/hibiscusprotocol/errors.go
@@ -10,6 +10,8 @@
 	ErrBadConfiguration = errors.New("configuration text is not valid")
 	// ErrBadSettings means that a settings file has at least one error.
 	ErrBadSettings = errors.New("settings are not valid")
+	// ErrBadAddress means that a text is not an IP address with a port.
+	ErrBadAddress = errors.New("address is not valid")
 	// ErrTable means that the table service or the object store did not respond, or rejected the request.
 	ErrTable = errors.New("table service is not available")
 	// ErrRowChanged means that a transaction was not applied because one of its conditions does not hold.
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -449,10 +449,14 @@
 	return configuration
 }
 
+// members decodes a member list without the members that can't be dialed: the sender has them from another writer.
 func (in *frameDecoder) members(members []*hibiscuswire.Member) []hibiscuscoordination.Member {
-	out := make([]hibiscuscoordination.Member, len(members))
-	for i, m := range members {
-		out[i] = hibiscuscoordination.NewMember(hibiscusstate.Incarnation(m.GetIncarnation()), m.GetAddress(), m.GetDomain(), m.GetHeartbeat())
+	out := make([]hibiscuscoordination.Member, 0, len(members))
+	for _, m := range members {
+		if CheckAddress(m.GetAddress()) == nil {
+			out = append(out, hibiscuscoordination.NewMember(
+				hibiscusstate.Incarnation(m.GetIncarnation()), m.GetAddress(), m.GetDomain(), m.GetHeartbeat()))
+		}
 	}
 	return out
 }
--- a/hibiscusprotocol/json_parser.go
+++ b/hibiscusprotocol/json_parser.go
@@ -18,6 +18,7 @@
 type jsonParser struct {
 	text    []byte
 	decoder *json.Decoder
+	depth   int
 	// line and lineStart are those of the offset up to which newlines are counted.
 	line      int
 	lineStart int
@@ -46,6 +47,10 @@
 	}
 	switch v := next.(type) {
 	case json.Delim:
+		if t.depth++; t.depth > maxNesting {
+			return nil, errNesting
+		}
+		defer func() { t.depth-- }()
 		if v == '{' {
 			return t.object()
 		}
--- a/hibiscusprotocol/member_store.go
+++ b/hibiscusprotocol/member_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,10 +23,13 @@
 // MemberStore stores the membership rows of entries.
 type MemberStore struct {
 	table *TableClient
+	log   *slog.Logger
 }
 
 // NewMemberStore returns a store of the membership rows in a table.
-func NewMemberStore(table *TableClient) *MemberStore { return &MemberStore{table: table} }
+func NewMemberStore(table *TableClient, log *slog.Logger) *MemberStore {
+	return &MemberStore{table: table, log: log}
+}
 
 type memberRow struct {
 	Incarnation   uint64 `json:"incarnation"`
@@ -34,21 +38,26 @@
 	Heartbeat     uint64 `json:"heartbeat"`
 }
 
-// List returns the rows of all entries, or ErrPlatformUnavailable.
+// List returns the rows of all entries, or ErrPlatformUnavailable. Rows that name no entry are skipped.
 func (s *MemberStore) List(ctx context.Context) ([]hibiscuscoordination.MemberRow, error) {
 	rows, err := s.table.Rows(ctx, memberPrefix, "", maxMembers)
 	if err != nil {
 		return nil, markUnavailable(err)
 	}
-	list := make([]hibiscuscoordination.MemberRow, len(rows))
-	for i, r := range rows {
+	list := make([]hibiscuscoordination.MemberRow, 0, len(rows))
+	for _, r := range rows {
 		var body memberRow
-		if err := json.Unmarshal([]byte(r.Value()), &body); err != nil {
-			return nil, markUnavailable(errors.Wrapf(err, "decode member row %s", r.Key()))
-		}
+		err := json.Unmarshal([]byte(r.Value()), &body)
 		member := hibiscuscoordination.NewMember(
 			hibiscusstate.Incarnation(body.Incarnation), body.Address, body.FailureDomain, body.Heartbeat)
-		list[i] = hibiscuscoordination.NewMemberRow(member, r.Version())
+		if err = errors.CombineErrors(err, CheckAddress(body.Address)); err == nil && memberKey(member) != r.Key() {
+			err = errors.Newf("the row has the key of another incarnation than %s", memberKey(member))
+		}
+		if err != nil {
+			s.log.Warn("membership: row names no entry and is skipped", "key", r.Key(), "cause", err.Error())
+			continue
+		}
+		list = append(list, hibiscuscoordination.NewMemberRow(member, r.Version()))
 	}
 	return list, nil
 }
--- a/hibiscusprotocol/settings.go
+++ b/hibiscusprotocol/settings.go
@@ -1,7 +1,7 @@
 package hibiscusprotocol
 
 import (
-	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -117,13 +117,21 @@
 }
 
 func checkAddress(name, field, address string) error {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil {
+	if CheckAddress(address) != nil {
 		return errors.Mark(errors.Newf("%s: %s: %q is not an IP address with a port, like 10.0.0.1:7000", name, field, address), ErrBadSettings)
 	}
 	return nil
 }
 
+// CheckAddress returns ErrBadAddress unless an address is an IP address with a port from 1 to 65535, like 10.0.0.1:7000.
+func CheckAddress(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		return errors.Mark(errors.Newf("%q is not an IP address with a port", address), ErrBadAddress)
+	}
+	return nil
+}
+
 // checkOptionalAddress returns an error if an address is set and not valid.
 func checkOptionalAddress(name, field, address string) error {
 	if address == "" {
--- a/hibiscusprotocol/table_client_test.go
+++ b/hibiscusprotocol/table_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -109,8 +110,8 @@
 // runEveryWrite makes each kind of write of the system; before each it calls fault with the number of requests of the write.
 func (b *tableHarness) runEveryWrite(fault func(writes int)) {
 	configurations := hibiscusprotocol.NewConfigurationStore(b.table)
-	audit := hibiscusprotocol.NewAuditStore(b.table)
-	members := hibiscusprotocol.NewMemberStore(b.table)
+	audit := hibiscusprotocol.NewAuditStore(b.table, slog.New(slog.DiscardHandler))
+	members := hibiscusprotocol.NewMemberStore(b.table, slog.New(slog.DiscardHandler))
 	document, err := hibiscusprotocol.ParseConfiguration("test", []byte(smallConfiguration))
 	if err != nil {
 		b.t.Fatal(err)
--- a/hibiscusprotocol/yaml.go
+++ b/hibiscusprotocol/yaml.go
@@ -15,6 +15,9 @@
 // unmarshalYAML decodes YAML into v and rejects unknown fields.
 func unmarshalYAML(text []byte, v any) (err error) {
 	defer recoverYAML(&err)
+	if err := checkNesting(text); err != nil {
+		return err
+	}
 	return yaml.UnmarshalWithOptions(text, v, yaml.Strict())
 }
 
@@ -26,6 +29,9 @@
 			return file, nil
 		}
 	}
+	if err := checkNesting(text); err != nil {
+		return nil, err
+	}
 	return parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 }
 
