--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -24,6 +24,7 @@
 	members          *memberLists
 	runners          []*runner
 	configuration    *hibiscusstate.Configuration
+	fetch            *configurationFetch
 	announcedAt      time.Time
 	announced        bool
 	stopping         bool
@@ -50,6 +51,7 @@
 		identity: identity,
 		entries:  map[hibiscusstate.Incarnation]*Peer{},
 		members:  newMemberLists(),
+		fetch:    newConfigurationFetch(identity.incarnation),
 		execute:  execute,
 		log:      log,
 	}
@@ -154,10 +156,7 @@
 		}
 		a.entries[p.Hello().Incarnation()] = p
 		a.manager.EntryUp(now, p.Hello().Incarnation())
-		if p.Hello().Version() < a.version() {
-			// An entry that restarts while the table is down gets its configuration back from its agents and peers.
-			p.Send(NewConfigurationMessage(a.configuration))
-		}
+		a.exchangeVersions(now, p)
 		a.log.Info("session: peer connected", "role", p.Hello().Role().String(), "address", p.Hello().Address())
 	})
 }
@@ -201,7 +200,9 @@
 	case MessageConfiguration:
 		a.configure(p, m.Configuration())
 	case MessageInForce:
-		p.recordVersion(m.Version())
+		a.recordReport(now, p, m.Version())
+	case MessageFetch:
+		answerFetch(p, m.Version(), a.configuration)
 	case MessageMembers:
 		a.members.set(id, m.Members())
 	case MessageCapacity:
@@ -213,6 +214,19 @@
 	}
 }
 
+// exchangeVersions reports the version in force to an entry that has connected, and records the one in its hello. An entry that
+// restarts while the table is down gets its configuration back from its agents and peers.
+func (a *Agent) exchangeVersions(now time.Time, p *Peer) {
+	switch {
+	case a.configuration == nil:
+	case p.Hello().Revision() == 0 && p.Hello().Version() < a.version():
+		p.Send(NewConfigurationMessage(a.configuration))
+	default:
+		p.Send(NewInForceMessage(a.version()))
+	}
+	a.recordReport(now, p, p.Hello().Version())
+}
+
 // configure applies a version that an entry sent if it is higher; the entries receive the version in force in any case.
 func (a *Agent) configure(p *Peer, c *hibiscusstate.Configuration) {
 	if a.configuration != nil && c.Version() <= a.configuration.Version() {
@@ -241,9 +255,12 @@
 	}
 	a.manager.Tick(now)
 	a.members.expire(now)
+	a.fetchConfiguration(now)
 }
 
-func (a *Agent) nextWake(now time.Time) time.Time { return a.manager.NextTick(now) }
+func (a *Agent) nextWake(now time.Time) time.Time {
+	return earliest(a.manager.NextTick(now), a.fetch.nextDue(now))
+}
 
 func (a *Agent) sendToEntry(entry hibiscusstate.Incarnation, m Message) bool {
 	p := a.entries[entry]
--- a/hibiscuscoordination/configuration.go
+++ b/hibiscuscoordination/configuration.go
@@ -161,38 +161,49 @@
 	_ = e.loop.post(func(time.Time) { e.readyHeld = false })
 }
 
-// resendConfiguration sends the version in force to every process that reported a lower one. This covers a push that failed
-// because the ring of the session's writer was full, and versions from another entry, which are not pushed at once.
+// resendConfiguration sends the version in force to every process that fetches none and reported a lower one: the push may have failed
+// because the ring of the session's writer was full.
 func (e *Entry) resendConfiguration() error {
 	return e.loop.post(func(now time.Time) {
 		maps.DeleteFunc(e.lostAgents, func(_ hibiscusstate.Incarnation, a lostAgent) bool { return now.After(a.until) })
-		e.pushConfiguration(false)
+		e.pushConfiguration()
 	})
 }
 
-// pushConfiguration sends the version in force to the processes that have a lower one; with onlyPrimary, only to those whose
-// primary this entry is (isPrimary). All entries read a version at the same moment, and 14 that each sent 350 queues to 90
-// processes filled their links and the memory of the agents. resendConfiguration sends it to the others if their primary has not.
-func (e *Entry) pushConfiguration(onlyPrimary bool) {
+// pushConfiguration sends the version in force to the processes before revision 1 that have a lower one; the others fetch it.
+func (e *Entry) pushConfiguration() {
 	c := e.dispatcher.Configuration()
 	if c == nil {
 		return
 	}
-	push := func(id hibiscusstate.Incarnation, p *Peer) {
-		if p.version < c.Version() && (!onlyPrimary || e.dispatcher.isPrimary(id)) {
+	push := func(p *Peer) {
+		if p.Hello().Revision() == 0 && p.version < c.Version() {
 			p.Send(NewConfigurationMessage(c))
 		}
 	}
-	for id, p := range e.agents {
-		push(id, p)
+	for _, p := range e.agents {
+		push(p)
 	}
-	for id, sessions := range e.peers {
-		push(id, sessions[0])
+	for _, sessions := range e.peers {
+		push(sessions[0])
 	}
 }
 
-// handleConfiguration applies a version that another process sent, if it is higher. It is not pushed on at once: the sender pushes
-// it to all, and with twelve entries that push every text, every agent would receive it twelve times.
+// exchangeVersions reports the version in force to a process that has connected, and records the one in its hello. Its own hello may
+// have been sent before the last change.
+func (e *Entry) exchangeVersions(now time.Time, p *Peer) {
+	c := e.dispatcher.Configuration()
+	switch {
+	case c == nil:
+	case p.Hello().Revision() == 0 && p.Hello().Version() < c.Version():
+		p.Send(NewConfigurationMessage(c))
+	default:
+		p.Send(NewInForceMessage(c.Version()))
+	}
+	e.recordReport(now, p, p.Hello().Version())
+}
+
+// handleConfiguration applies a version that another process sent, if it is higher.
 func (e *Entry) handleConfiguration(now time.Time, p *Peer, c *hibiscusstate.Configuration) {
 	e.recordVersion(p, c.Version())
 	if !e.applyConfiguration(now, c) {
--- a/hibiscuscoordination/configuration_feed.go
+++ b/hibiscuscoordination/configuration_feed.go
@@ -86,15 +86,6 @@
 	}
 }
 
-// configureFromFeed applies a version that all entries read from the table at the same moment.
-func (e *Entry) configureFromFeed(c *hibiscusstate.Configuration) error {
-	return e.loop.post(func(now time.Time) {
-		if e.applyConfiguration(now, c) {
-			e.pushConfiguration(true)
-		}
-	})
-}
-
 // resendLoop sends the version in force every second to the processes that lack it, until ctx is done.
 func (f *ConfigurationFeed) resendLoop(ctx context.Context) {
 	ticker := time.NewTicker(configurationPollInterval)
@@ -124,5 +115,5 @@
 	if c == nil {
 		return position, nil
 	}
-	return position, f.entry.configureFromFeed(c)
+	return position, f.entry.Configure(c)
 }
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -26,6 +26,7 @@
 	peers        map[hibiscusstate.Incarnation][]*Peer
 	members      *memberLists
 	lostAgents   map[hibiscusstate.Incarnation]lostAgent
+	fetch        *configurationFetch
 	forwards     map[uint64]*pendingForward
 	recoveries   map[hibiscusstate.SubmissionKey]*recovery
 	drains       map[hibiscusstate.Incarnation]*drainRequest
@@ -73,6 +74,7 @@
 		peers:      map[hibiscusstate.Incarnation][]*Peer{},
 		members:    newMemberLists(),
 		lostAgents: map[hibiscusstate.Incarnation]lostAgent{},
+		fetch:      newConfigurationFetch(identity.incarnation),
 		forwards:   map[uint64]*pendingForward{},
 		recoveries: map[hibiscusstate.SubmissionKey]*recovery{},
 		drains:     map[hibiscusstate.Incarnation]*drainRequest{},
@@ -133,9 +135,13 @@
 	return runAndWait(e.loop, func(time.Time) []hibiscusstate.SubmissionKey { return e.dispatcher.IssueKeys(n) })
 }
 
-// Configure applies a configuration if its version is higher than the one in force, and pushes it to the other processes.
+// Configure applies a configuration if its version is higher than the one in force, and reports it to the other processes.
 func (e *Entry) Configure(c *hibiscusstate.Configuration) error {
-	return e.loop.post(func(now time.Time) { e.configure(now, c) })
+	return e.loop.post(func(now time.Time) {
+		if e.applyConfiguration(now, c) {
+			e.pushConfiguration()
+		}
+	})
 }
 
 // Configuration returns the configuration in force, nil before the first.
@@ -205,10 +211,13 @@
 	e.expireForwards(now)
 	e.expireRecoveries(now)
 	e.members.expire(now)
+	e.fetchConfiguration(now)
 	e.dispatcher.Flush(now)
 }
 
-func (e *Entry) nextWake(time.Time) time.Time { return e.dispatcher.NextTick() }
+func (e *Entry) nextWake(now time.Time) time.Time {
+	return earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now))
+}
 
 func (e *Entry) version() uint64 {
 	if c := e.dispatcher.Configuration(); c != nil {
@@ -246,15 +255,8 @@
 	e.dispatcher.Submit(now, s, withKey)
 }
 
-// configure applies a version from the table or an operator, and pushes it to all processes that have a lower one.
-func (e *Entry) configure(now time.Time, c *hibiscusstate.Configuration) {
-	if e.applyConfiguration(now, c) {
-		e.pushConfiguration(false)
-	}
-}
-
-// applyConfiguration applies a version and reports it to the other entries, if it is higher than the one in force. It reports
-// whether it did.
+// applyConfiguration applies a version and reports it to all processes, if it is higher than the one in force. It reports whether
+// it did.
 func (e *Entry) applyConfiguration(now time.Time, c *hibiscusstate.Configuration) bool {
 	if !e.dispatcher.Configure(now, c) {
 		return false
@@ -263,9 +265,7 @@
 		e.configuredAt = now
 	}
 	e.log.Info("config: version in force", "version", c.Version())
-	for _, sessions := range e.peers {
-		sessions[0].Send(NewInForceMessage(c.Version()))
-	}
+	e.broadcast(NewInForceMessage(c.Version()))
 	return true
 }
 
@@ -281,9 +281,7 @@
 
 func (e *Entry) peerUp(now time.Time, p *Peer) {
 	hello := p.Hello()
-	if c := e.dispatcher.Configuration(); c != nil && hello.Version() < c.Version() {
-		p.Send(NewConfigurationMessage(c))
-	}
+	e.exchangeVersions(now, p)
 	p.Send(NewMembersMessage(e.memberList()))
 	switch hello.Role() {
 	case RoleAgent:
@@ -367,7 +365,9 @@
 	case MessageConfiguration:
 		e.handleConfiguration(now, p, m.Configuration())
 	case MessageInForce:
-		e.recordVersion(p, m.Version())
+		e.recordReport(now, p, m.Version())
+	case MessageFetch:
+		answerFetch(p, m.Version(), e.dispatcher.Configuration())
 	case MessageMembers:
 		e.members.set(id, m.Members())
 	case MessageHello, MessagePing, MessagePong:
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -29,6 +29,7 @@
 	MessageCapacity                         // capacity
 	MessageInForce                          // in_force
 	MessageLoad                             // load
+	MessageFetch                            // fetch
 )
 
 // Role is the role of a process.
@@ -49,13 +50,30 @@
 	version       uint64
 	capacity      Capacity
 	callerAddress string
+	revision      int
 }
 
+// ProtocolRevision is the revision of the protocol between processes. From revision 1 on, processes fetch configurations; earlier
+// ones wait until they are sent one, and end a session at a message that they don't know.
+const ProtocolRevision = 1
+
 // NewHello returns a hello; version is that of the configuration in force, zero for none.
 func NewHello(role Role, incarnation hibiscusstate.Incarnation, address, domain string, version uint64, capacity Capacity) Hello {
-	return Hello{role: role, incarnation: incarnation, address: address, domain: domain, version: version, capacity: capacity}
+	return Hello{
+		role: role, incarnation: incarnation, address: address, domain: domain, version: version, capacity: capacity,
+		revision: ProtocolRevision,
+	}
+}
+
+// WithRevision sets the revision of the protocol that the process speaks.
+func (h Hello) WithRevision(revision int) Hello {
+	h.revision = revision
+	return h
 }
 
+// Revision returns the revision of the protocol that the process speaks, zero for processes older than revisions.
+func (h Hello) Revision() int { return h.revision }
+
 // WithCallerAddress sets the address at which callers and operators reach the process over HTTP.
 func (h Hello) WithCallerAddress(address string) Hello {
 	h.callerAddress = address
@@ -174,6 +192,11 @@
 	return Message{kind: MessageInForce, hello: Hello{version: version}}
 }
 
+// NewFetchMessage returns a message that asks for a configuration of at least this version.
+func NewFetchMessage(version uint64) Message {
+	return Message{kind: MessageFetch, hello: Hello{version: version}}
+}
+
 // Load is the load of an agent, as sent to one entry: the slots of other entries' tasks, and the tasks that wait.
 type Load struct {
 	otherSlots int
@@ -268,7 +291,7 @@
 // Capacity returns the capacity of a hello or capacity message.
 func (m Message) Capacity() Capacity { return m.hello.capacity }
 
-// Version returns the configuration version of a hello or in-force message.
+// Version returns the configuration version of a hello, in-force or fetch message.
 func (m Message) Version() uint64 { return m.hello.version }
 
 // Orders returns the tasks of an orders message.
--- a/hibiscuscoordination/message_string.go
+++ b/hibiscuscoordination/message_string.go
@@ -24,11 +24,12 @@
 	_ = x[MessageCapacity-13]
 	_ = x[MessageInForce-14]
 	_ = x[MessageLoad-15]
+	_ = x[MessageFetch-16]
 }
 
-const _MessageKind_name = "hellopingpongordersreportsstopsettlerecoverrecoveredforwardforwardedconfigurationmemberscapacityin_forceload"
+const _MessageKind_name = "hellopingpongordersreportsstopsettlerecoverrecoveredforwardforwardedconfigurationmemberscapacityin_forceloadfetch"
 
-var _MessageKind_index = [...]uint8{0, 5, 9, 13, 19, 26, 30, 36, 43, 52, 59, 68, 81, 88, 96, 104, 108}
+var _MessageKind_index = [...]uint8{0, 5, 9, 13, 19, 26, 30, 36, 43, 52, 59, 68, 81, 88, 96, 104, 108, 113}
 
 func (i MessageKind) String() string {
 	idx := int(i) - 0
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -113,6 +113,8 @@
 		b.Capacity = encodeCapacity(m.Capacity())
 	case hibiscuscoordination.MessageInForce:
 		b.InForce = hibiscuswire.InForce_builder{Version: m.Version()}.Build()
+	case hibiscuscoordination.MessageFetch:
+		b.Fetch = hibiscuswire.Fetch_builder{Version: m.Version()}.Build()
 	case hibiscuscoordination.MessageLoad:
 		b.Load = hibiscuswire.Load_builder{Others: int32(m.Load().OtherSlots()), Waiting: int32(m.Load().Waiting())}.Build()
 	}
@@ -154,6 +156,8 @@
 		m = hibiscuscoordination.NewCapacityMessage(in.capacity(f.GetCapacity()))
 	case hibiscuswire.Frame_InForce_case:
 		m = hibiscuscoordination.NewInForceMessage(f.GetInForce().GetVersion())
+	case hibiscuswire.Frame_Fetch_case:
+		m = hibiscuscoordination.NewFetchMessage(f.GetFetch().GetVersion())
 	case hibiscuswire.Frame_Load_case:
 		m = hibiscuscoordination.NewLoadMessage(hibiscuscoordination.NewLoad(
 			in.nonNegative("others", f.GetLoad().GetOthers()), in.nonNegative("waiting", f.GetLoad().GetWaiting())))
@@ -169,6 +173,7 @@
 	return hibiscuswire.Hello_builder{
 		Role: int32(h.Role()), Incarnation: uint64(h.Incarnation()), Address: h.Address(), Domain: h.Domain(),
 		Version: h.Version(), Capacity: encodeCapacity(h.Capacity()), Caller: h.CallerAddress(),
+		Revision: uint32(h.Revision()),
 	}.Build()
 }
 
@@ -332,7 +337,7 @@
 func (in *frameDecoder) hello(h *hibiscuswire.Hello) hibiscuscoordination.Hello {
 	role := enum(in, "role", h.GetRole(), hibiscuscoordination.RoleAgent)
 	return hibiscuscoordination.NewHello(role, hibiscusstate.Incarnation(h.GetIncarnation()), h.GetAddress(), h.GetDomain(),
-		h.GetVersion(), in.capacity(h.GetCapacity())).WithCallerAddress(h.GetCaller())
+		h.GetVersion(), in.capacity(h.GetCapacity())).WithCallerAddress(h.GetCaller()).WithRevision(int(h.GetRevision()))
 }
 
 func (in *frameDecoder) capacity(c *hibiscuswire.Capacity) hibiscuscoordination.Capacity {
--- a/hibiscusstandin/network.go
+++ b/hibiscusstandin/network.go
@@ -48,6 +48,54 @@
 	network *MemoryNetwork
 	dead    bool
 	frozen  bool
+	port    networkPort
+}
+
+// networkPort is the connection of a host to the network, with a bandwidth in each direction.
+type networkPort struct {
+	mu sync.Mutex
+	// bytesPerSecond is the bandwidth, zero for no limit.
+	bytesPerSecond int
+	sendFree       time.Time
+	receiveFree    time.Time
+	received       int
+}
+
+// SetBandwidth limits what the host sends and receives, in bytes a second each.
+func (h *Host) SetBandwidth(bytesPerSecond int) {
+	h.port.mu.Lock()
+	defer h.port.mu.Unlock()
+	h.port.bytesPerSecond = bytesPerSecond
+}
+
+// BytesReceived returns how many bytes were sent to the host.
+func (h *Host) BytesReceived() int {
+	h.port.mu.Lock()
+	defer h.port.mu.Unlock()
+	return h.port.received
+}
+
+// transmit returns when n bytes that are ready at a time have passed the port, in the direction whose next free time is free.
+func (p *networkPort) transmit(free *time.Time, ready time.Time, n int) time.Time {
+	if p.bytesPerSecond == 0 {
+		return ready
+	}
+	if free.After(ready) {
+		ready = *free
+	}
+	*free = ready.Add(time.Duration(n) * time.Second / time.Duration(p.bytesPerSecond))
+	return *free
+}
+
+// arrival returns when n bytes that one host sends now arrive at another.
+func arrival(from, to *Host, n int, delay time.Duration) time.Time {
+	from.port.mu.Lock()
+	sent := from.port.transmit(&from.port.sendFree, time.Now(), n)
+	from.port.mu.Unlock()
+	to.port.mu.Lock()
+	defer to.port.mu.Unlock()
+	to.port.received += n
+	return to.port.transmit(&to.port.receiveFree, sent.Add(delay), n)
 }
 
 // Host returns the network of a new process.
--- a/hibiscusstandin/pipe.go
+++ b/hibiscusstandin/pipe.go
@@ -16,13 +16,14 @@
 const pipeBytes = 1 << 20
 
 type pipe struct {
-	mu       sync.Mutex
-	chunks   []chunk
-	bytes    int
-	closed   bool
-	cut      bool
-	paused   bool
-	delay    time.Duration
+	mu     sync.Mutex
+	chunks []chunk
+	bytes  int
+	closed bool
+	cut    bool
+	paused bool
+	// arrival returns when n bytes that are written now arrive.
+	arrival  func(n int) time.Time
 	silent   atomic.Bool
 	changed  chan struct{}
 	deadline time.Time
@@ -33,7 +34,9 @@
 	due  time.Time
 }
 
-func newPipe(delay time.Duration) *pipe { return &pipe{delay: delay, changed: make(chan struct{})} }
+func newPipe(arrival func(n int) time.Time) *pipe {
+	return &pipe{arrival: arrival, changed: make(chan struct{})}
+}
 
 // wake wakes all waiting readers and writers after a change; the caller holds the lock.
 func (p *pipe) wake() {
@@ -53,7 +56,7 @@
 			return len(b), nil
 		}
 		if p.bytes < pipeBytes {
-			p.chunks = append(p.chunks, chunk{data: append([]byte(nil), b...), due: time.Now().Add(p.delay)})
+			p.chunks = append(p.chunks, chunk{data: append([]byte(nil), b...), due: p.arrival(len(b))})
 			p.bytes += len(b)
 			p.wake()
 			p.mu.Unlock()
@@ -165,8 +168,8 @@
 }
 
 func (k *link) open(address net.Addr, delay time.Duration) (dialerEnd, listenerEnd net.Conn) {
-	k.toListener = newPipe(delay)
-	k.toDialer = newPipe(delay)
+	k.toListener = newPipe(func(n int) time.Time { return arrival(k.dialer, k.listener, n, delay) })
+	k.toDialer = newPipe(func(n int) time.Time { return arrival(k.listener, k.dialer, n, delay) })
 	return &memoryConn{in: k.toDialer, out: k.toListener, address: address}, &memoryConn{in: k.toListener, out: k.toDialer, address: address}
 }
 
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -271,7 +271,7 @@
 	case hibiscuscoordination.MessageHello, hibiscuscoordination.MessagePing, hibiscuscoordination.MessagePong,
 		hibiscuscoordination.MessageSettle, hibiscuscoordination.MessageRecover, hibiscuscoordination.MessageRecovered,
 		hibiscuscoordination.MessageConfiguration, hibiscuscoordination.MessageMembers, hibiscuscoordination.MessageCapacity,
-		hibiscuscoordination.MessageInForce, hibiscuscoordination.MessageLoad:
+		hibiscuscoordination.MessageInForce, hibiscuscoordination.MessageLoad, hibiscuscoordination.MessageFetch:
 		return false
 	}
 	return false
