--- a/hibiscuscoordination/configuration_fetch.go
+++ b/hibiscuscoordination/configuration_fetch.go
@@ -73,17 +73,18 @@
 	if f.version == 0 || now.Before(f.due) {
 		return 0, false
 	}
-	first, best := f.rank(sources, 0), f.rank(sources, f.version)
-	if best == nil && len(f.asked) > 0 {
+	best := f.rank(sources, f.version)
+	if best == nil {
+		// All that have the version were asked; start over with the first.
 		clear(f.asked)
 		best = f.rank(sources, f.version)
 	}
-	switch {
-	case best == nil:
+	if best == nil {
 		// No connected process has the version any more; another report of it starts the fetch again.
 		f.version = 0
 		return 0, false
-	case len(f.asked) == 0 && first.id != best.id && now.Before(f.rankedUntil):
+	}
+	if first := f.rank(sources, 0); len(f.asked) == 0 && first.id != best.id && now.Before(f.rankedUntil) {
 		return 0, false
 	}
 	f.asked[best.id] = true
--- a/hibiscuscoordination/configuration_test.go
+++ b/hibiscuscoordination/configuration_test.go
@@ -213,6 +213,14 @@
 		So(m.lacking(3), ShouldEqual, 0)
 		So(most(m.received), ShouldEqual, 1)
 	})
+	Convey("A copy of the only entry is lost, and it is asked again", t, func() {
+		m := newConfigurationMesh(1, 5, ProtocolRevision)
+		m.lost = true
+		m.apply(m.entries[0], 3)
+		m.run(2 * time.Second)
+		So(m.lacking(3), ShouldEqual, 0)
+		So(most(m.received), ShouldEqual, 1)
+	})
 	Convey("All entries restart without the table, and an agent gives the version back", t, func() {
 		m := newConfigurationMesh(entries, agents, ProtocolRevision)
 		m.agents[7].configure(m.agents[7].entries[1], hibiscusstate.NewConfiguration(5, "", hibiscusstate.NewDocument(nil, nil)))
