--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -204,7 +204,7 @@
 	case MessageFetch:
 		answerFetch(p, m.Version(), a.configuration)
 	case MessageMembers:
-		a.members.set(id, m.Members())
+		a.members.apply(id, m)
 	case MessageCapacity:
 		a.log.Info("agent: drain state set by an operator", "drained", m.Capacity().Drained())
 		a.manager.SetDrained(id, m.Capacity().Drained())
--- a/hibiscuscoordination/configuration.go
+++ b/hibiscuscoordination/configuration.go
@@ -176,17 +176,11 @@
 	if c == nil {
 		return
 	}
-	push := func(p *Peer) {
+	e.eachPeer(func(p *Peer) {
 		if p.Hello().Revision() == 0 && p.version < c.Version() {
 			p.Send(NewConfigurationMessage(c))
 		}
-	}
-	for _, p := range e.agents {
-		push(p)
-	}
-	for _, sessions := range e.peers {
-		push(sessions[0])
-	}
+	})
 }
 
 // exchangeVersions reports the version in force to a process that has connected, and records the one in its hello. Its own hello may
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -25,6 +25,7 @@
 	agents       map[hibiscusstate.Incarnation]*Peer
 	peers        map[hibiscusstate.Incarnation][]*Peer
 	members      *memberLists
+	announcer    memberAnnouncer
 	lostAgents   map[hibiscusstate.Incarnation]lostAgent
 	fetch        *configurationFetch
 	forwards     map[uint64]*pendingForward
@@ -212,11 +213,12 @@
 	e.expireRecoveries(now)
 	e.members.expire(now)
 	e.fetchConfiguration(now)
+	e.announceMembers(now)
 	e.dispatcher.Flush(now)
 }
 
 func (e *Entry) nextWake(now time.Time) time.Time {
-	return earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now))
+	return earliest(earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now)), e.announcer.nextDue())
 }
 
 func (e *Entry) version() uint64 {
@@ -271,18 +273,23 @@
 
 // broadcast sends a message to all agents, and once to each entry.
 func (e *Entry) broadcast(m Message) {
+	e.eachPeer(func(p *Peer) { p.Send(m) })
+}
+
+// eachPeer calls f with the session of each agent, and with one session of each entry.
+func (e *Entry) eachPeer(f func(*Peer)) {
 	for _, p := range e.agents {
-		p.Send(m)
+		f(p)
 	}
 	for _, sessions := range e.peers {
-		sessions[0].Send(m)
+		f(sessions[0])
 	}
 }
 
 func (e *Entry) peerUp(now time.Time, p *Peer) {
 	hello := p.Hello()
 	e.exchangeVersions(now, p)
-	p.Send(NewMembersMessage(e.memberList()))
+	p.Send(NewMembersMessage(e.announcer.list(e.memberList())))
 	switch hello.Role() {
 	case RoleAgent:
 		if previous := e.agents[hello.Incarnation()]; previous != nil {
@@ -326,14 +333,14 @@
 	e.log.Info("session: peer lost", "role", hello.Role().String(), "address", hello.Address())
 }
 
-// updateEntries passes the connected entries to the Dispatcher, which shares the workers with them, and the member list to all.
+// updateEntries passes the connected entries to the Dispatcher, which shares the workers with them, and has the change announced.
 func (e *Entry) updateEntries() {
 	entries := []hibiscusstate.Incarnation{e.identity.incarnation}
 	for id := range e.peers {
 		entries = append(entries, id)
 	}
 	e.dispatcher.SetEntries(entries)
-	e.broadcast(NewMembersMessage(e.memberList()))
+	e.announcer.markChanged()
 }
 
 func (e *Entry) peerMessage(now time.Time, p *Peer, m Message) {
@@ -369,7 +376,7 @@
 	case MessageFetch:
 		answerFetch(p, m.Version(), e.dispatcher.Configuration())
 	case MessageMembers:
-		e.members.set(id, m.Members())
+		e.members.apply(id, m)
 	case MessageHello, MessagePing, MessagePong:
 	case MessageOrders, MessageStop, MessageSettle, MessageRecover:
 		e.log.Warn("session: unexpected message for an entry", "kind", m.Kind().String())
--- a/hibiscuscoordination/members.go
+++ b/hibiscuscoordination/members.go
@@ -1,14 +1,16 @@
 package hibiscuscoordination
 
 import (
+	"slices"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
 )
 
 // Member lists are how a process finds the entries. Each entry sends the others and its agents the list of entries that it has
-// sessions with. A list is valid while its sender is connected, and for a retention time after that: entries that have stopped
-// are removed, and a process that has lost all its sessions can still dial entries.
+// sessions with when a session opens, and then the changes (memberAnnouncer). A list is valid while its sender is connected, and for a
+// retention time after that: entries that have stopped are removed, and a process that has lost all its sessions can still dial
+// entries.
 
 const (
 	// listRetention is how long the list of a disconnected entry is valid while other entries are connected.
@@ -37,6 +39,20 @@
 	l.lists[sender] = &memberList{members: members}
 }
 
+// apply stores the list of a connected entry, or applies its changes to the last one.
+func (l *memberLists) apply(sender hibiscusstate.Incarnation, m Message) {
+	list := l.lists[sender]
+	if !m.Changes() || list == nil {
+		l.set(sender, m.Members())
+		return
+	}
+	kept := slices.DeleteFunc(slices.Clone(list.members), func(member Member) bool {
+		return slices.Contains(m.Removed(), member.incarnation) ||
+			slices.ContainsFunc(m.Members(), func(next Member) bool { return next.incarnation == member.incarnation })
+	})
+	l.set(sender, append(kept, m.Members()...))
+}
+
 // markLost records that the last session to an entry has ended.
 func (l *memberLists) markLost(now time.Time, entry hibiscusstate.Incarnation) {
 	if list := l.lists[entry]; list != nil {
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -53,8 +53,9 @@
 	revision      int
 }
 
-// ProtocolRevision is the revision of the protocol between processes. From revision 1 on, processes fetch configurations; earlier
-// ones wait until they are sent one, and end a session at a message that they don't know.
+// ProtocolRevision is the revision of the protocol between processes. From revision 1 on, processes fetch configurations and take
+// changes of a member list. Earlier ones wait until they are sent a configuration, take each member list as a whole, and end a session
+// at a message that they don't know.
 const ProtocolRevision = 1
 
 // NewHello returns a hello; version is that of the configuration in force, zero for none.
@@ -184,6 +185,8 @@
 	answer        *Answer
 	configuration *hibiscusstate.Configuration
 	members       []Member
+	removed       []hibiscusstate.Incarnation
+	changes       bool
 	load          Load
 }
 
@@ -277,6 +280,12 @@
 	return Message{kind: MessageMembers, members: members}
 }
 
+// NewMemberChangesMessage returns a message that lists the entries that are new or have changed since the last list, and the
+// incarnations of those that are gone.
+func NewMemberChangesMessage(members []Member, removed []hibiscusstate.Incarnation) Message {
+	return Message{kind: MessageMembers, members: members, removed: removed, changes: true}
+}
+
 // NewCapacityMessage returns a message that reports the current capacity of an agent's endpoint.
 func NewCapacityMessage(capacity Capacity) Message {
 	return Message{kind: MessageCapacity, hello: Hello{capacity: capacity}}
@@ -318,6 +327,12 @@
 // Configuration returns the configuration of a configuration message.
 func (m Message) Configuration() *hibiscusstate.Configuration { return m.configuration }
 
+// Changes reports whether a members message lists only changes.
+func (m Message) Changes() bool { return m.changes }
+
+// Removed returns the incarnations of the entries that are gone, of a members message that lists changes.
+func (m Message) Removed() []hibiscusstate.Incarnation { return m.removed }
+
 // Members returns the entries of a members message.
 func (m Message) Members() []Member { return m.members }
 
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -108,7 +108,7 @@
 			Version: m.Configuration().Version(), Text: m.Configuration().Text(),
 		}.Build()
 	case hibiscuscoordination.MessageMembers:
-		b.Members = encodeMembers(m.Members())
+		b.Members = encodeMembers(m)
 	case hibiscuscoordination.MessageCapacity:
 		b.Capacity = encodeCapacity(m.Capacity())
 	case hibiscuscoordination.MessageInForce:
@@ -151,7 +151,7 @@
 	case hibiscuswire.Frame_Configuration_case:
 		m = hibiscuscoordination.NewConfigurationMessage(in.configuration(f.GetConfiguration()))
 	case hibiscuswire.Frame_Members_case:
-		m = hibiscuscoordination.NewMembersMessage(in.members(f.GetMembers().GetMembers()))
+		m = in.members(f.GetMembers())
 	case hibiscuswire.Frame_Capacity_case:
 		m = hibiscuscoordination.NewCapacityMessage(in.capacity(f.GetCapacity()))
 	case hibiscuswire.Frame_InForce_case:
@@ -271,14 +271,18 @@
 	return b.Build()
 }
 
-func encodeMembers(members []hibiscuscoordination.Member) *hibiscuswire.Members {
-	out := make([]*hibiscuswire.Member, len(members))
-	for i, m := range members {
+func encodeMembers(message hibiscuscoordination.Message) *hibiscuswire.Members {
+	out := make([]*hibiscuswire.Member, len(message.Members()))
+	for i, m := range message.Members() {
 		out[i] = hibiscuswire.Member_builder{
 			Incarnation: uint64(m.Incarnation()), Address: m.Address(), Domain: m.Domain(), Heartbeat: m.Heartbeat(),
 		}.Build()
 	}
-	return hibiscuswire.Members_builder{Members: out}.Build()
+	removed := make([]uint64, len(message.Removed()))
+	for i, id := range message.Removed() {
+		removed[i] = uint64(id)
+	}
+	return hibiscuswire.Members_builder{Members: out, Removed: removed, Changes: message.Changes()}.Build()
 }
 
 // frameDecoder converts the fields of a frame, and keeps the first error.
@@ -455,13 +459,20 @@
 }
 
 // members decodes a member list without the members that can't be dialed: the sender has them from another writer.
-func (in *frameDecoder) members(members []*hibiscuswire.Member) []hibiscuscoordination.Member {
-	out := make([]hibiscuscoordination.Member, 0, len(members))
-	for _, m := range members {
+func (in *frameDecoder) members(list *hibiscuswire.Members) hibiscuscoordination.Message {
+	out := make([]hibiscuscoordination.Member, 0, len(list.GetMembers()))
+	for _, m := range list.GetMembers() {
 		if CheckAddress(m.GetAddress()) == nil {
 			out = append(out, hibiscuscoordination.NewMember(
 				hibiscusstate.Incarnation(m.GetIncarnation()), m.GetAddress(), m.GetDomain(), m.GetHeartbeat()))
 		}
 	}
-	return out
+	if !list.GetChanges() {
+		return hibiscuscoordination.NewMembersMessage(out)
+	}
+	removed := make([]hibiscusstate.Incarnation, len(list.GetRemoved()))
+	for i, id := range list.GetRemoved() {
+		removed[i] = hibiscusstate.Incarnation(id)
+	}
+	return hibiscuscoordination.NewMemberChangesMessage(out, removed)
 }
