--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -197,8 +197,11 @@
 	return e.loop.post(func(now time.Time) { e.peerUp(now, p) })
 }
 
-// PeerMessage handles a message of a session.
+// PeerMessage handles a message of a session. Pings and pongs matter to the session only.
 func (e *Entry) PeerMessage(p *Peer, m Message) error {
+	if m.Kind() == MessagePing || m.Kind() == MessagePong {
+		return nil
+	}
 	return e.loop.post(func(now time.Time) { e.peerMessage(now, p, m) })
 }
 
--- a/hibiscusprocess/silence_test.go
+++ b/hibiscusprocess/silence_test.go
@@ -9,6 +9,9 @@
 // jobs end only at their deadlines; if orders were not reconciled after a reconnect, their tasks would be lost, and if they were
 // sent again unconditionally, started twice.
 
+// idleSessionsEnd is long enough for the sessions without tasks to be closed as silent and replaced before the transcript ends.
+const idleSessionsEnd = 2 * time.Second
+
 // runSilenceSession runs a session in which the connections to an entry carry no data while tasks run that end during and after
 // that time.
 func runSilenceSession(t *testing.T, name string, toEntry, toAgents bool) {
@@ -23,6 +26,7 @@
 		d.submit("caller", "10.0.1.1", d.key("10.0.1.1", "key-3"), listSyncJob(1, 100))
 		wait()
 		waitForLong()
+		time.Sleep(idleSessionsEnd)
 	})
 }
 
--- a/hibiscusstandin/clock.go
+++ b/hibiscusstandin/clock.go
@@ -13,6 +13,7 @@
 	start     time.Time
 	step      time.Duration
 	suspended time.Duration
+	skipped   time.Duration
 }
 
 // NewClock returns a clock whose time of day is that of the runtime.
@@ -33,6 +34,14 @@
 	c.suspended += d
 }
 
+// Skip simulates that the process stood still for a while and has just resumed: both readings advance, and no timer has fired.
+func (c *Clock) Skip(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.step += d
+	c.skipped += d
+}
+
 // Suspended returns how long the VM has been suspended so far.
 func (c *Clock) Suspended() time.Duration {
 	c.mu.Lock()
@@ -40,12 +49,12 @@
 	return c.suspended
 }
 
-// Now returns the time of day with all steps, and a steady reading without them.
+// Now returns the time of day with all steps, and a steady reading with the skipped times only.
 func (c *Clock) Now() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	return withSteadyReading(now.Add(c.step), now.Sub(c.start))
+	return withSteadyReading(now.Add(c.step), now.Sub(c.start)+c.skipped)
 }
 
 // timeLayout is the layout of the first two fields of a time.Time with a steady reading: a flag, 33 bits of seconds since 1885 and 30
--- a/hibiscustransport/activity.go
+++ b/hibiscustransport/activity.go
@@ -14,12 +14,16 @@
 	idleSilentAfter = 2500 * time.Millisecond
 	// activeFor is how long after a task frame the short times apply.
 	activeFor = 2 * time.Second
+	// acceptorPingFactor times the time to a ping is that of the end that accepted the connection. The dialer's ping arrives before it, so
+	// that a quiet session costs one ping and one pong at a time instead of two.
+	acceptorPingFactor = 1.5
 )
 
 // activity records when a session last received a frame and when task frames moved, as offsets from its start on the steady clock.
 // The time of day may jump by seconds, which would close every session as silent or keep a dead one open. It is safe for concurrent
 // use.
 type activity struct {
+	dialer       bool
 	start        time.Time
 	lastReceived atomic.Int64
 	// activeSince and lastTaskFrame are the offsets of the first and the last task frame of a period in which task frames move.
@@ -28,8 +32,8 @@
 }
 
 // newActivity returns the activity of a session that starts now and has been idle for long.
-func newActivity(now time.Time) *activity {
-	a := &activity{start: now}
+func newActivity(now time.Time, dialer bool) *activity {
+	a := &activity{start: now, dialer: dialer}
 	a.lastTaskFrame.Store(int64(-activeFor))
 	return a
 }
@@ -39,21 +43,28 @@
 // received records that a frame was received.
 func (a *activity) received(now time.Time) { a.lastReceived.Store(int64(a.offset(now))) }
 
-// taskFrame records that a task frame was sent or received.
-func (a *activity) taskFrame(now time.Time) {
+// taskFrame records that a task frame was sent or received, and reports whether the short times apply from now on.
+func (a *activity) taskFrame(now time.Time) bool {
 	at := a.offset(now)
-	if at-time.Duration(a.lastTaskFrame.Load()) >= activeFor {
+	begins := at-time.Duration(a.lastTaskFrame.Load()) >= activeFor
+	if begins {
 		a.activeSince.Store(int64(at))
 	}
 	a.lastTaskFrame.Store(int64(at))
+	return begins
 }
 
 // silence returns for how long nothing was received, and after which such time this end pings and then closes the session. The
 // short times count from the first task frame: an idle session may legitimately receive nothing for a second.
 func (a *activity) silence(now time.Time) (quiet, ping, silent time.Duration) {
 	at, since := a.offset(now), time.Duration(a.lastReceived.Load())
-	if at-time.Duration(a.lastTaskFrame.Load()) >= activeFor {
-		return at - since, idlePingAfter, idleSilentAfter
+	ping, silent = idlePingAfter, idleSilentAfter
+	if at-time.Duration(a.lastTaskFrame.Load()) < activeFor {
+		since = max(since, time.Duration(a.activeSince.Load()))
+		ping, silent = pingAfter, silentAfter
 	}
-	return at - max(since, time.Duration(a.activeSince.Load())), pingAfter, silentAfter
+	if !a.dialer {
+		ping = time.Duration(acceptorPingFactor * float64(ping))
+	}
+	return at - since, ping, silent
 }
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -33,6 +33,9 @@
 // orders, pings are repeated, and later reports carry the load.
 
 const (
+	// maxTimerDelay is how late the watchdog may run before it gives the readers readGrace to receive what has arrived.
+	maxTimerDelay = 100 * time.Millisecond
+	readGrace     = 200 * time.Millisecond
 	// finishTimeout is how long the peer may take to close a session that this end has finished.
 	finishTimeout = time.Second
 
@@ -77,13 +80,15 @@
 
 // Session is one connection between two processes of the system.
 type Session struct {
-	handlers    SessionHandlers
-	log         *slog.Logger
-	mux         *yamux.Session
-	control     *stream
-	tasks       *stream
-	peer        *hibiscuscoordination.Peer
-	activity    *activity
+	handlers SessionHandlers
+	log      *slog.Logger
+	mux      *yamux.Session
+	control  *stream
+	tasks    *stream
+	peer     *hibiscuscoordination.Peer
+	activity *activity
+	// activated has a value when the short times of activity have begun to apply.
+	activated   chan struct{}
 	openReaders atomic.Int32
 	finishOnce  sync.Once
 	finished    chan struct{}
@@ -107,7 +112,8 @@
 ) error {
 	s := &Session{
 		handlers: handlers, log: log, closed: make(chan struct{}), finished: make(chan struct{}),
-		overflow: make(chan hibiscuscoordination.MessageKind, 1), activity: newActivity(handlers.now()),
+		overflow: make(chan hibiscuscoordination.MessageKind, 1), activity: newActivity(handlers.now(), dialer),
+		activated: make(chan struct{}, 1),
 	}
 	if err := s.open(conn, secret, dialer); err != nil {
 		conn.Close()
@@ -290,7 +296,7 @@
 			return
 		}
 		if st == s.tasks {
-			s.activity.taskFrame(s.handlers.now())
+			s.noteTaskFrame()
 		}
 		if err := st.writeBatch(buf, batch[:n]); err != nil {
 			s.close(err)
@@ -336,7 +342,7 @@
 		}
 		s.activity.received(s.handlers.now())
 		if st == s.tasks {
-			s.activity.taskFrame(s.handlers.now())
+			s.noteTaskFrame()
 		}
 		if m.Kind() == hibiscuscoordination.MessagePing {
 			s.send(hibiscuscoordination.NewPongMessage())
@@ -367,12 +373,24 @@
 	return hibiscusprotocol.DecodeFrame(b)
 }
 
+// noteTaskFrame records a task frame, and wakes the watchdog when the short times begin to apply.
+func (s *Session) noteTaskFrame() {
+	if !s.activity.taskFrame(s.handlers.now()) {
+		return
+	}
+	select {
+	case s.activated <- struct{}{}:
+	default:
+	}
+}
+
 // watchdog is the watchdog goroutine. It pings after a time without traffic, and closes the session if still nothing arrives, if
 // the peer does not close a finished session, or if the send ring is full.
 func (s *Session) watchdog() {
 	timer := time.NewTimer(pingAfter)
 	defer timer.Stop()
 	var pinged time.Time
+	due := s.handlers.now().Add(pingAfter)
 	var expired <-chan time.Time
 	finished := s.finished
 	for {
@@ -392,10 +410,17 @@
 			}
 			s.close(errors.Newf("the send ring is full, the first dropped message is %s", kind))
 			return
+		case <-s.activated:
 		case <-timer.C:
 		}
 		now := s.handlers.now()
 		quiet, ping, silent := s.activity.silence(now)
+		if quiet >= silent && now.Sub(due) > maxTimerDelay {
+			// This process stood still or had no processor time, so its readers may be late too.
+			due = now.Add(readGrace)
+			timer.Reset(readGrace)
+			continue
+		}
 		if quiet >= silent {
 			s.close(errors.Mark(errors.Newf("nothing was received for %v", quiet.Round(time.Millisecond)), ErrSilent))
 			return
@@ -408,8 +433,8 @@
 		if next <= 0 {
 			next = silent - quiet
 		}
-		// The short times may become effective at any moment, so check at least that often.
-		timer.Reset(min(next, pingAfter))
+		due = now.Add(next)
+		timer.Reset(next)
 	}
 }
 
--- a/hibiscustransport/session_clock_test.go
+++ b/hibiscustransport/session_clock_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,8 @@
 	peer    *hibiscuscoordination.Peer
 	ended   chan error
 	stop    context.CancelFunc
+	// frames is the number of frames that either end has received.
+	frames atomic.Int64
 }
 
 const steppedAddress = "10.0.1.1:7200"
@@ -55,7 +58,10 @@
 				up(p)
 				return nil
 			},
-			func(*hibiscuscoordination.Peer, hibiscuscoordination.Message) error { return nil },
+			func(*hibiscuscoordination.Peer, hibiscuscoordination.Message) error {
+				s.frames.Add(1)
+				return nil
+			},
 			func(*hibiscuscoordination.Peer) error { return nil })
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -71,19 +77,23 @@
 	return s
 }
 
-// TestSessionSteppedClock guards against a session that is closed because the time of day jumped forward, and against one whose
-// silence is not noticed because it jumped back: on machines whose clock is set, all sessions were lost at once.
+// TestSessionSteppedClock guards against a session that is closed because the time of day jumped forward, or because its process
+// stood still while the peer's frames waited in the socket, and against one whose silence is not noticed because the time of day jumped
+// back: on machines whose clock is set, all sessions were lost at once.
 func TestSessionSteppedClock(t *testing.T) {
 	var lines []string
 	for _, c := range []struct {
 		name   string
 		step   time.Duration
+		skip   time.Duration
 		silent bool
 	}{
-		{"the time of day jumps forward", 2400 * time.Millisecond, false},
-		{"the time of day jumps forward by an hour", time.Hour, false},
-		{"the time of day jumps back", -2400 * time.Millisecond, false},
-		{"the time of day jumps back and the connection goes silent", -2400 * time.Millisecond, true},
+		{"the time of day jumps forward", 2400 * time.Millisecond, 0, false},
+		{"the time of day jumps forward by an hour", time.Hour, 0, false},
+		{"the time of day jumps back", -2400 * time.Millisecond, 0, false},
+		{"the time of day jumps back and the connection goes silent", -2400 * time.Millisecond, 0, true},
+		{"the process stands still", 0, 3 * time.Second, false},
+		{"the process stands still and the connection goes silent", 0, 3 * time.Second, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSteppedSession(t)
@@ -91,6 +101,7 @@
 			s.peer.Send(hibiscuscoordination.NewStopMessage(nil))
 			time.Sleep(50 * time.Millisecond)
 			s.clock.Step(c.step)
+			s.clock.Skip(c.skip)
 			began := time.Now()
 			if c.silent {
 				s.network.Silence(steppedAddress, true, true)
@@ -108,3 +119,38 @@
 	}
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "session_stepped_clock", []byte(strings.Join(lines, "\n")+"\n"))
 }
+
+// TestQuietSessionCost guards against sessions whose keep-alives cost more than one ping and one pong at a time: at 55 entries and 240
+// agents there are 13,200, and both ends pinged each other at the same moments.
+func TestQuietSessionCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			idleTime   = 20 * time.Second
+			activeTime = 10 * time.Second
+		)
+		// mostFrames returns two frames for each ping interval, and 15% for moments at which both ends ping because their intervals end
+		// together.
+		mostFrames := func(d time.Duration, interval float64) int64 { return int64(1.15 * 2 * float64(d) / interval) }
+		s := newSteppedSession(t)
+		defer s.stop()
+		time.Sleep(2 * time.Second)
+		before := s.frames.Load()
+		time.Sleep(idleTime)
+		idle := s.frames.Load() - before
+		if most := mostFrames(idleTime, float64(idlePingAfter)); idle > most {
+			t.Errorf("%d pings and pongs in %v without tasks, more than %d", idle, idleTime, most)
+		}
+		tasks := int64(activeTime / (100 * time.Millisecond))
+		for range tasks {
+			s.peer.Send(hibiscuscoordination.NewStopMessage(nil))
+			time.Sleep(100 * time.Millisecond)
+		}
+		active := s.frames.Load() - before - idle - tasks
+		// The end that receives the tasks does not ping.
+		if most := mostFrames(activeTime, acceptorPingFactor*float64(pingAfter)); active > most {
+			t.Errorf("%d pings and pongs in %v with tasks in one direction, more than %d", active, activeTime, most)
+		}
+		s.stop()
+		time.Sleep(5 * time.Second)
+	})
+}
