--- a/hibiscuscoordination/admission.go
+++ b/hibiscuscoordination/admission.go
@@ -18,6 +18,9 @@
 	// startGrace is how long after the start of an entry named jobs are admitted without a connected worker: agents open their
 	// sessions within 0.3 s, and report their endpoints, which may have started with them, a round trip later.
 	startGrace = 1500 * time.Millisecond
+	// growthInterval is how long after the last new capacity the capacity of a starting entry still counts as unknown. The agents of a
+	// site open their sessions one after the other.
+	growthInterval = 150 * time.Millisecond
 	// stopFactor times its longest expected task is the time that a job must have left at a stopping entry, or it is refused.
 	stopFactor = 3
 	// backlogFactor is the safety factor on the estimated run time of the backlog. Later jobs with earlier deadlines, of other
@@ -143,11 +146,21 @@
 	return nil
 }
 
+// isGrowing reports whether an entry that has just started is still learning which workers there are. After a loss of power of all
+// VMs, clients return before the agents have connected, and a capacity of the first few workers would make it refuse jobs that the others
+// have room for a moment later.
+func (d *Dispatcher) isGrowing(now time.Time, p *pool) bool {
+	return now.Sub(d.startedAt) <= startGrace && now.Sub(p.grewAt) <= growthInterval
+}
+
 // checkObjective refuses a job with an objective that would end after its expiry, when its answer is of no use to the caller. A job
 // admitted as in time waits only for tasks with earlier due times; a late one waits for the whole queue and some later jobs.
 func (d *Dispatcher) checkObjective(
 	now time.Time, s *Submission, p *pool, work, longest, objective time.Duration,
 ) *Answer {
+	if d.isGrowing(now, p) {
+		return nil
+	}
 	capacity := d.capacity(p)
 	backlog := float64(p.queue.WorkBefore(now.Add(objective), d.kind(s.service, s.tasks[0].Kind()).TopPriority(), scanLimit))
 	if time.Duration((objectiveBacklogFactor*backlog+float64(work))/capacity)+longest <= objective || p.queue.Len() == 0 {
--- a/hibiscuscoordination/dispatcher_pool.go
+++ b/hibiscuscoordination/dispatcher_pool.go
@@ -36,6 +36,8 @@
 	liveSlots   int
 	usableSlots float64
 	longSlots   int
+	// grewAt is when a worker last offered more slots than before.
+	grewAt time.Time
 	// onTimeLoad is how many slots are needed for the jobs that were recently admitted as in time, as of onTimeLoadUpdatedAt.
 	onTimeLoad          float64
 	onTimeLoadUpdatedAt time.Time
@@ -84,8 +86,9 @@
 }
 
 // observeUsableSlots updates how many slots this entry can use: those with its tasks and those that are free in its view.
-// While several entries have queued work, none gets all slots, and its share can't be computed in advance.
-func (p *pool) observeUsableSlots(entries int) {
+// While several entries have queued work, none gets all slots, and its share can't be computed in advance. While workers are still
+// connecting, the average would lag behind them for a second, so it starts anew from an equal share.
+func (p *pool) observeUsableSlots(entries int, growing bool) {
 	slots := 0
 	p.maxWorkerSlots = 0
 	for i := range p.heap.Len() {
@@ -93,7 +96,7 @@
 		p.maxWorkerSlots = max(p.maxWorkerSlots, w.Slots())
 		slots += min(w.InFlightSlots()+max(w.FreeSlots(), 0), w.LiveSlots())
 	}
-	if p.usableSlots == 0 {
+	if p.usableSlots == 0 || growing {
 		p.usableSlots = float64(p.liveSlots) / float64(entries)
 	}
 	p.usableSlots += (float64(slots) - p.usableSlots) * capacityWeight
--- a/hibiscuscoordination/dispatcher_workers.go
+++ b/hibiscuscoordination/dispatcher_workers.go
@@ -21,6 +21,7 @@
 		d.workers[id] = a
 		a.pool.heap.Add(w)
 		a.pool.slots += w.Slots()
+		a.pool.grewAt = now
 	}
 	if a.worker.Connected() && len(a.tasks) > 0 {
 		// The agent opened a new session before this entry detected the loss of the previous one.
@@ -103,6 +104,9 @@
 	if c.service != "" && c.service != a.worker.Service() {
 		a = d.moveToService(a, c.service)
 	}
+	if c.slots > a.worker.Slots() {
+		a.pool.grewAt = now
+	}
 	a.pool.slots += c.slots - a.worker.Slots()
 	a.worker.SetSlots(c.slots)
 	a.pool.maxWorkerSlots = max(a.pool.maxWorkerSlots, c.slots)
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -75,7 +75,7 @@
 // it is too late unless the whole queue can be done by then.
 func (d *Dispatcher) isTooLate(now time.Time, p *pool, t *hibiscusstate.Task) bool {
 	expiry := t.Job().Expiry()
-	if t.Job().Late() && p.liveSlots > 0 {
+	if t.Job().Late() && p.liveSlots > 0 && !d.isGrowing(now, p) {
 		now = now.Add(time.Duration(float64(p.queue.Work()) / d.capacity(p)))
 	}
 	return now.Add(t.Expected()).After(expiry)
