--- a/hibiscuscoordination/agent_load.go
+++ b/hibiscuscoordination/agent_load.go
@@ -34,7 +34,7 @@
 // sendLoad sends the load to the entries with a stale view of this agent. Of free slots it notifies no more entries than
 // typical tasks fit, the least recently notified first.
 func (s *SlotManager) sendLoad(now time.Time) {
-	if s.capacity.Slots() == 0 || s.taskSlots <= 1 {
+	if !s.sendsLoad() {
 		return
 	}
 	total := s.committedSlots()
@@ -67,6 +67,9 @@
 	s.send(id, NewLoadMessage(c.reportedLoad))
 }
 
+// sendsLoad reports whether load messages are sent now.
+func (s *SlotManager) sendsLoad() bool { return s.capacity.Slots() > 0 && s.taskSlots > 1 }
+
 // trackFreeCapacity records since when a typical task fits.
 func (s *SlotManager) trackFreeCapacity(now time.Time, total int) {
 	switch {
@@ -112,12 +115,15 @@
 // nextLoadDue returns when the next load message is due, the zero time when no view is stale.
 func (s *SlotManager) nextLoadDue() time.Time {
 	var next time.Time
+	if !s.sendsLoad() {
+		return next
+	}
 	total := s.committedSlots()
 	for _, c := range s.entries {
-		if s.taskSlots > 1 && s.hasStaleSlowness(c) {
+		if s.hasStaleSlowness(c) {
 			next = earliest(next, c.reportedAt.Add(s.minLoadInterval()))
 		}
-		if s.taskSlots > 1 && s.hasStaleLoad(c, total) {
+		if s.hasStaleLoad(c, total) {
 			next = earliest(next, s.loadDueAt(c))
 		}
 	}
--- a/hibiscuscoordination/configuration_fetch.go
+++ b/hibiscuscoordination/configuration_fetch.go
@@ -7,9 +7,9 @@
 )
 
 // A process fetches a version of the configuration from one process that has it. Every process reports the version that it has in
-// force, in its hello and after each change, and one that lacks it asks for it. With hundreds of routes a version is 70 KB: when each
-// entry sent it to each process that opened a session, a restart of 76 agents filled the links of 14 entries for 1.7 s, and the
-// sessions were closed as silent and opened again.
+// force, in its hello and after each change, and one that lacks it asks for it. With hundreds of routes a version is 50 KB: when each
+// entry sent it to each process that opened a session, an agent that restarted got a dozen copies. With 14 entries and 76 agents they
+// filled links of 25 Mbit/s, so that sessions were closed as silent and opened again.
 //
 // Entries are ranked by a rendezvous hash with the process, so that the processes spread over the entries, whichever of them
 // reports a version first.
--- a/hibiscuscoordination/slowness_test.go
+++ b/hibiscuscoordination/slowness_test.go
@@ -180,3 +180,20 @@
 	}
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "slow_worker", []byte(strings.Join(lines, "\n")+"\n"))
 }
+
+// TestSlownessWithoutCapacity guards against an event loop that spins because a load message is due that is not sent: the worker is slow,
+// its runs become overdue, and it offers no capacity.
+func TestSlownessWithoutCapacity(t *testing.T) {
+	f := newSlowFleet(3, 3)
+	f.run(time.Second, 6*time.Millisecond)
+	a := f.agents[0]
+	a.manager.SetEndpoint(f.now, "check", hibiscusstate.Resources{})
+	a.manager.slowness = slownessMeter{median: slowFactor, runs: minSlownessRuns}
+	for range 200 {
+		f.now = f.now.Add(5 * time.Millisecond)
+		a.manager.Tick(f.now)
+		if next := a.manager.NextTick(f.now); !next.After(f.now) {
+			t.Fatalf("the next tick is due %v ago, right after a tick", f.now.Sub(next))
+		}
+	}
+}
