--- a/hibiscustransport/session_clock_test.go
+++ b/hibiscustransport/session_clock_test.go
@@ -65,14 +65,16 @@
 			func(*hibiscuscoordination.Peer) error { return nil })
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	opened := make(chan *hibiscuscoordination.Peer, 1)
 	go func() {
 		s.ended <- RunSession(ctx, accepted, testSecret, false, handlers(hibiscuscoordination.RoleEntry,
-			func(p *hibiscuscoordination.Peer) { s.peer = p }).WithClock(s.clock.Now), newSessionStats(), log)
+			func(p *hibiscuscoordination.Peer) { opened <- p }).WithClock(s.clock.Now), newSessionStats(), log)
 	}()
 	go func() {
 		s.ended <- RunSession(ctx, conn, testSecret, true, handlers(hibiscuscoordination.RoleAgent,
 			func(*hibiscuscoordination.Peer) {}), newSessionStats(), log)
 	}()
+	s.peer = <-opened
 	time.Sleep(100 * time.Millisecond)
 	return s
 }
