--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -431,7 +431,8 @@
 		}
 		next := ping - quiet
 		if next <= 0 {
-			next = silent - quiet
+			// The answer to the ping may arrive meanwhile, and then the next ping is due a whole interval later.
+			next = min(silent-quiet, ping)
 		}
 		due = now.Add(next)
 		timer.Reset(next)
