--- a/review/cases/worker.go
+++ b/review/cases/worker.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -203,7 +202,7 @@
 	case call.DeadlineMs <= w.clock():
 		return "late"
 	}
-	duration, err := time.ParseDuration(strings.Fields(call.Spec)[0])
+	duration, err := time.ParseDuration(call.Spec)
 	if err != nil {
 		return "room"
 	}
