--- a/review/cases/scenarios.go
+++ b/review/cases/scenarios.go
@@ -182,7 +182,7 @@
 			})
 		}
 		time.Sleep(20 * time.Millisecond)
-		c.submit(d.entries, job{id: newID(), queue: heavyQueue, tasks: 18, duration: 1400 * time.Millisecond}, 1500*time.Millisecond, 2)
+		c.submit(d.entries, job{id: newID(), queue: heavyQueue, tasks: 45, duration: 1400 * time.Millisecond}, 1500*time.Millisecond, 2)
 		time.Sleep(2 * time.Second)
 	}
 }
