--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -25,7 +25,7 @@
 	play    func(d *deployment, trouble bool)
 }{
 	"cut-worker":   {1, 6, cutWorker},
-	"cut-entry":    {2, 6, cutEntry},
+	"cut-entry":    {3, 6, cutEntry},
 	"other-writer": {1, 6, otherWriter},
 	"late-order":   {2, 6, lateOrder},
 	"cancel":       {1, 2, cancelJob},
