End a worker's runs by its own responses only

Cause: isSuccessor took an announcement with the worker's address or ID and a later start for a restart of the worker, and startIncarnation ended the records of all runs, which the entry then started elsewhere. WithdrawAnnouncement did the same with a DELETE. Neither asks the worker, and anyone can send either. The log of the agent shows it: 'endpoint: new incarnation' under the ID of the other writer, then 'all runs have ended'.

Now a worker in use is ended by its own responses, a refused connection, or silence past its lease. An announcement of another incarnation is kept as a candidate and adopted at that moment, so a real restart is not slower; a withdrawal only ends the offer.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -87,6 +87,8 @@
 	seams        LeasedEndpointSeams
 	incarnation  EndpointIncarnation
 	announcement Announcement
+	// candidate is the newest announcement of another incarnation that arrived while the current one was in use.
+	candidate Announcement
 	// epoch is the epoch of all requests, in milliseconds of the time of day.
 	epoch           uint64
 	epochStep       uint64
@@ -108,6 +110,8 @@
 	suspendedUntil    time.Time
 	suspension        time.Duration
 	stateKnown        bool
+	// withdrawn means that the endpoint has withdrawn its announcement and gets no new tasks.
+	withdrawn bool
 	// gone means that there is no endpoint, or that its runs have ended because it is down or its lease has expired.
 	gone       bool
 	log        *slog.Logger
@@ -140,34 +144,53 @@
 	w.goroutines.Wait()
 }
 
-// Announce processes an announcement of the endpoint before it returns. One that is outdated, or of another endpoint while the
-// current one is in use, is ignored.
+// Announce processes an announcement of the endpoint before it returns. One that is outdated is ignored, and one of another
+// incarnation is kept until the current one is gone.
 func (w *LeasedEndpoint) Announce(a Announcement) error {
 	_, err := runAndWait(w.loop, func(now time.Time) bool {
-		if !w.isCurrent(a) && !w.isSuccessor(a.incarnation) {
+		switch {
+		case w.isCurrent(a):
+		case w.isSuccessor(a.incarnation):
+			w.startIncarnation(now, a.incarnation)
+		case a.incarnation.startMs > w.incarnation.startMs:
+			if w.candidate.incarnation != a.incarnation {
+				w.log.Info("endpoint: announcement kept until the current endpoint is gone", "endpoint", a.incarnation.id,
+					"born", a.incarnation.startMs, "service", a.service, "address", a.incarnation.address,
+					"current", w.incarnation.id, "current_born", w.incarnation.startMs)
+			}
+			w.candidate = a
+			return false
+		default:
 			w.log.Warn("endpoint: outdated announcement ignored", "endpoint", a.incarnation.id, "born", a.incarnation.startMs,
 				"sequence", a.sequence, "service", a.service, "address", a.incarnation.address)
 			return false
 		}
-		if a.incarnation != w.incarnation {
-			w.startIncarnation(now, a.incarnation)
-		}
-		if a.draining && !w.announcement.draining {
-			w.log.Info("endpoint: draining", "endpoint", a.incarnation.id, "running", len(w.runs))
-			w.logError(w.seams.leave())
-		}
-		w.announcement = a
-		w.offerCapacity(now)
+		w.applyAnnouncement(now, a)
 		return true
 	})
 	if err != nil {
 		return err
 	}
+	w.wakePoll()
+	return nil
+}
+
+// applyAnnouncement applies an announcement of the current incarnation.
+func (w *LeasedEndpoint) applyAnnouncement(now time.Time, a Announcement) {
+	if a.draining && !w.announcement.draining {
+		w.log.Info("endpoint: draining", "endpoint", a.incarnation.id, "running", len(w.runs))
+		w.logError(w.seams.leave())
+	}
+	w.announcement, w.withdrawn = a, false
+	w.offerCapacity(now)
+}
+
+// wakePoll ends the delay before the next poll.
+func (w *LeasedEndpoint) wakePoll() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // isCurrent reports whether an announcement is the next one of the current incarnation, which never changes its service.
@@ -176,33 +199,36 @@
 		(w.announcement.incarnation != w.incarnation || w.announcement.service == a.service)
 }
 
-// isSuccessor reports whether another incarnation replaces the current one. Runs of the current one may be in progress until it is
-// gone. Until then only its own restart replaces it, and not an announcement of another writer. A restart has a later start, unless
-// the time of day was set back; so once the current one is gone, any incarnation is tried: it gets no tasks before its first list.
+// isSuccessor reports whether an announced incarnation replaces the current one. Anyone can send an announcement, so while the
+// current endpoint is in use only its own responses end it: a response with another start, a refused connection, a response of
+// another ID, or silence until its lease has expired. Once it is gone, any incarnation is tried, because the time of day may have
+// been set back between two starts; it gets no tasks before its first list.
 func (w *LeasedEndpoint) isSuccessor(next EndpointIncarnation) bool {
-	current := w.incarnation
-	if next == current {
-		return false
-	}
-	if w.gone {
-		return true
-	}
-	if !w.stateKnown {
-		return next.startMs >= current.startMs
+	return next != w.incarnation && (w.gone || !w.stateKnown && next.startMs >= w.incarnation.startMs)
+}
+
+// adoptCandidate replaces an endpoint that is gone by the incarnation that has announced itself meanwhile, if there is one.
+func (w *LeasedEndpoint) adoptCandidate(now time.Time) {
+	a := w.candidate
+	if a.incarnation.id == "" || a.incarnation == w.incarnation {
+		return
 	}
-	return next.startMs > current.startMs && (next.id == current.id || next.address == current.address)
+	w.candidate = Announcement{}
+	w.startIncarnation(now, a.incarnation)
+	w.applyAnnouncement(now, a)
+	w.wakePoll()
 }
 
-// WithdrawAnnouncement handles the request of the endpoint with an ID to delete its announcement, because it shuts down.
+// WithdrawAnnouncement handles the request of the endpoint with an ID to delete its announcement, because it shuts down. It gets no
+// new tasks from then on; its runs end when it no longer responds, because anyone can send such a request.
 func (w *LeasedEndpoint) WithdrawAnnouncement(id string) error {
 	return w.loop.post(func(time.Time) {
 		if id != w.incarnation.id {
 			return
 		}
-		w.log.Info("endpoint: shut down", "endpoint", id, "running", len(w.runs))
-		w.endAllRuns("the endpoint has shut down")
-		w.incarnation, w.gone = EndpointIncarnation{}, true
-		w.withdrawOffer("the endpoint has shut down")
+		w.log.Info("endpoint: announcement withdrawn", "endpoint", id, "running", len(w.runs))
+		w.withdrawn = true
+		w.withdrawOffer("the endpoint shuts down")
 	})
 }
 
@@ -312,7 +338,12 @@
 	if response.startMs != 0 && response.startMs != w.incarnation.startMs {
 		w.log.Warn("endpoint: response of another incarnation", "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
 			"answering", response.startMs)
-		w.startIncarnation(now, NewEndpointIncarnation(w.incarnation.id, response.startMs, w.incarnation.address))
+		restarted := NewEndpointIncarnation(w.incarnation.id, response.startMs, w.incarnation.address)
+		if w.candidate.incarnation.startMs == response.startMs {
+			w.adoptCandidate(now)
+		} else {
+			w.startIncarnation(now, restarted)
+		}
 		return
 	}
 	w.lastAnswerAt, w.gone = now, false
@@ -402,11 +433,13 @@
 		w.endAllRuns("the endpoint is down")
 		w.stateKnown, w.gone = false, true
 		w.withdrawOffer(err.Error())
+		w.adoptCandidate(now)
 	case now.Sub(w.lastAnswerAt) > maxRenewalSilence:
 		w.withdrawOffer("the endpoint does not answer polls: " + err.Error())
 		if now.After(w.leaseEnd.Add(endpointLeaseDuration/50 + leaseSlack)) {
 			w.endAllRuns("the endpoint does not answer polls and its lease has expired")
 			w.stateKnown, w.gone = false, true
+			w.adoptCandidate(now)
 		}
 	}
 }
@@ -421,13 +454,14 @@
 	w.announcement.draining = false
 	w.cursor, w.endpointClock, w.stateKnown, w.gone, w.lastAnswerAt = 0, 0, false, false, now
 	w.consecutiveStalls, w.suspension, w.suspendedUntil = 0, 0, time.Time{}
+	w.withdrawn = false
 	clear(w.orphans)
 	w.withdrawOffer("the endpoint has restarted")
 }
 
 // offerCapacity offers the endpoint's capacity to the agent, unless the state of the endpoint is unknown or it is suspended.
 func (w *LeasedEndpoint) offerCapacity(now time.Time) {
-	if now.Before(w.suspendedUntil) || !w.stateKnown || len(w.orphans) > 0 || w.announcement.draining ||
+	if now.Before(w.suspendedUntil) || !w.stateKnown || len(w.orphans) > 0 || w.announcement.draining || w.withdrawn ||
 		w.incarnation != w.announcement.incarnation {
 		return
 	}
