Bound the runs of an entry's tasks by what the entry has echoed

Cause: an entry counted a run as over 1.4 s after it had noticed the loss of the session, on the assumption that the agent notices it within 0.9 s too. Each end chooses its limit by the traffic that it has seen, 0.9 s or 2.5 s: the entry wrote an order into the dead session and used the short one, the agent never got that order and used the long one. The logs show both: 'peer lost' at the entry 0.9 s and at the agent 2.5 s after the cut. Ruled out: the worker's lease (the agent renews it all the while).

Now every message carries its sender's stamp and echoes the highest stamp received. An agent runs the tasks of an entry for 1.2 s after it sent what the entry echoed last, on its own clock, and asks for an echo every 0.4 s while it has some. The entry concludes 2.4 s after it last heard of the agent and after it sent the order: 1.2 s, the endpoint's lease of 1 s, 0.2 s of slack. Both constants derive from permissionDuration; no limit of a session takes part, so neither the direction of a cut nor late bytes matter. Earlier builds send no stamps; their messages count from their arrival, as before.

The network of the tests delivered the close of a connection through a cut, which showed the loss to the agent at once; it no longer does, and Hold delays what two processes send each other.

TestPermission and TestLostRunsEnd guard both ends by themselves.

--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -186,6 +186,7 @@
 		return
 	}
 	a.manager.RenewLease(now, id)
+	a.manager.RenewPermission(now, id, m.EchoedAt())
 	switch m.Kind() {
 	case MessageOrders:
 		a.manager.HandleOrders(now, id, m.Orders())
--- a/hibiscuscoordination/benchmark_test.go
+++ b/hibiscuscoordination/benchmark_test.go
@@ -90,7 +90,7 @@
 		b.StopTimer()
 		d := benchmarkDispatcher(0)
 		d.WorkerUp(benchmarkNow, NewHello(RoleAgent, 100, "0", "a", 1, NewCapacity("check", 1, false, 1)))
-		d.WorkerDown(benchmarkNow, 100)
+		d.WorkerDown(benchmarkNow, 100, benchmarkNow)
 		var keys []hibiscusstate.SubmissionKey
 		for job := range 100 {
 			s := benchmarkSubmission(d, job%benchmarkTeams, 1000)
--- a/hibiscuscoordination/dispatcher.go
+++ b/hibiscuscoordination/dispatcher.go
@@ -35,9 +35,10 @@
 	reportGrace = 50 * time.Millisecond
 	// reconnectTimeout is how long a task of a lost session waits for the agent to reconnect.
 	reconnectTimeout = 5 * time.Second
-	// lostRunTimeout is how long a run of a named job may continue after its session was lost. A running agent closes the session
-	// at most 0.9 s later, and stops the run after orphanTimeout; when the agent has stopped, the lease ends within 1.1 s.
-	lostRunTimeout = 1400 * time.Millisecond
+	// lostRunTimeout is how long a run of a named job may continue after its agent was last heard of, or its order was sent, if that
+	// was later. The agent stops it at the end of the permission; if the agent is suspended then, the lease that it has just renewed
+	// ends the run.
+	lostRunTimeout = permissionDuration + endpointLeaseDuration + leaseSlack + stopSlack
 	// tickInterval is how often stale views are corrected and ejected workers are probed whose delay has passed.
 	tickInterval = 100 * time.Millisecond
 	// defaultDeadline is the time limit of a job when neither the submission nor its kinds set one.
@@ -108,7 +109,9 @@
 	pool   *pool
 	tasks  map[hibiscusstate.TaskID]*hibiscusstate.Task
 	orders []hibiscusstate.Order
-	lostAt time.Time
+	// lostAt is when the loss of the session was detected, and lastHeardAt when the last message had been received over it.
+	lostAt      time.Time
+	lastHeardAt time.Time
 	// ejectedAsSlow means that the worker was last ejected because its tasks take too long.
 	ejectedAsSlow bool
 	// liveSlots is the worker's part of the pool's liveSlots.
--- a/hibiscuscoordination/dispatcher_timers.go
+++ b/hibiscuscoordination/dispatcher_timers.go
@@ -89,9 +89,7 @@
 func (d *Dispatcher) tickWorker(now time.Time, a *assignment) {
 	w := a.worker
 	if !w.Connected() {
-		if now.Sub(a.lostAt) >= lostRunTimeout {
-			d.endLostRuns(now, a)
-		}
+		d.endLostRuns(now, a)
 		if now.Sub(a.lostAt) >= reconnectTimeout {
 			d.removeWorker(now, a, "the worker was lost while it had the task")
 		}
--- a/hibiscuscoordination/dispatcher_workers.go
+++ b/hibiscuscoordination/dispatcher_workers.go
@@ -25,7 +25,7 @@
 	}
 	if a.worker.Connected() && len(a.tasks) > 0 {
 		// The agent opened a new session before this entry detected the loss of the previous one.
-		d.WorkerDown(now, id)
+		d.WorkerDown(now, id, now)
 	}
 	a.worker.SetConnected(true)
 	d.UpdateCapacity(now, id, hello.capacity)
@@ -54,10 +54,17 @@
 	}
 }
 
-// endLostRuns records the end of the runs of named jobs at a lost worker, which have certainly ended. Their tasks may run again.
+// endLostRuns records the end of the runs of named jobs at a lost worker that have certainly ended by now. Their tasks may run again.
 func (d *Dispatcher) endLostRuns(now time.Time, a *assignment) {
+	d.endRunsOf(now, a, func(t *hibiscusstate.Task) bool {
+		return now.Sub(a.lastHeardAt) >= lostRunTimeout && now.Sub(t.SentAt()) >= lostRunTimeout
+	})
+}
+
+// endRunsOf records the end of those runs of named jobs at a lost worker for which ended returns true.
+func (d *Dispatcher) endRunsOf(now time.Time, a *assignment, ended func(*hibiscusstate.Task) bool) {
 	for _, t := range a.tasks {
-		if t.Job().Name() == "" {
+		if t.Job().Name() == "" || !ended(t) {
 			continue
 		}
 		report := hibiscusstate.NewResult(t.Attempt(), hibiscusstate.OutcomeLost, nil, "the worker was lost while it had the task", 0)
@@ -72,7 +79,7 @@
 func (d *Dispatcher) endPredecessorRuns(now time.Time, successor *assignment) {
 	for _, a := range d.workers {
 		if a != successor && a.worker.Address() == successor.worker.Address() && !a.worker.Connected() {
-			d.endLostRuns(now, a)
+			d.endRunsOf(now, a, func(*hibiscusstate.Task) bool { return true })
 			if len(a.tasks) == 0 {
 				d.removeWorker(now, a, "the worker was replaced")
 			}
@@ -153,14 +160,15 @@
 	return a
 }
 
-// WorkerDown records that the session to a worker was lost: the state of its tasks is in doubt until the agent reconnects.
-func (d *Dispatcher) WorkerDown(now time.Time, id hibiscusstate.Incarnation) {
+// WorkerDown records that the session to a worker was lost, over which the last message was received at lastHeardAt: the state of its
+// tasks is in doubt until the agent reconnects.
+func (d *Dispatcher) WorkerDown(now time.Time, id hibiscusstate.Incarnation, lastHeardAt time.Time) {
 	a := d.workers[id]
 	if a == nil || !a.worker.Connected() {
 		return
 	}
 	a.worker.SetConnected(false)
-	a.lostAt = now
+	a.lostAt, a.lastHeardAt = now, lastHeardAt
 	d.requeueOrders(now, a)
 	for _, t := range a.tasks {
 		t.MarkInDoubt()
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -321,7 +321,7 @@
 		}
 		delete(e.agents, hello.Incarnation())
 		e.addLostAgent(now, p)
-		e.dispatcher.WorkerDown(now, hello.Incarnation())
+		e.dispatcher.WorkerDown(now, hello.Incarnation(), p.lastReceivedAt(now))
 		e.answerDrain(hello.Incarnation(), ErrNoAnswer)
 		e.markAgentLost(now, hello.Incarnation())
 	case RoleEntry:
--- a/hibiscuscoordination/event_loop.go
+++ b/hibiscuscoordination/event_loop.go
@@ -39,12 +39,12 @@
 func (l *eventLoop) run() {
 	batch := make([]command, commandBatchSize)
 	for {
-		now := l.clock.read()
+		now := l.clock.Now()
 		n, err := l.ring.PopBatch(batch, max(l.nextWake(now).Sub(now), 0))
 		if err != nil {
 			return
 		}
-		now = l.clock.read()
+		now = l.clock.Now()
 		for i := range n {
 			batch[i](now)
 			batch[i] = nil
--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -226,7 +226,7 @@
 		if id != w.incarnation.id {
 			return
 		}
-		w.log.Info("endpoint: announcement withdrawn", "endpoint", id, "running", len(w.runs))
+		w.log.Info("endpoint: shut down", "endpoint", id, "running", len(w.runs))
 		w.withdrawn = true
 		w.withdrawOffer("the endpoint shuts down")
 	})
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -1,6 +1,8 @@
 package hibiscuscoordination
 
 import (
+	"time"
+
 	"hibiscusrouter/hibiscusstate"
 )
 
@@ -55,8 +57,8 @@
 
 // ProtocolRevision is the revision of the protocol between processes. From revision 1 on, processes fetch configurations and take
 // changes of a member list. Earlier ones wait until they are sent a configuration, take each member list as a whole, and end a session
-// at a message that they don't know.
-const ProtocolRevision = 1
+// at a message that they don't know. From revision 2 on, messages have a Timing.
+const ProtocolRevision = 2
 
 // NewHello returns a hello; version is that of the configuration in force, zero for none.
 func NewHello(role Role, incarnation hibiscusstate.Incarnation, address, domain string, version uint64, capacity Capacity) Hello {
@@ -188,6 +190,10 @@
 	removed       []hibiscusstate.Incarnation
 	changes       bool
 	load          Load
+	timing        Timing
+	decidedAt     time.Time
+	echoedAt      time.Time
+	decidedAfter  time.Time
 }
 
 // NewInForceMessage returns a message that reports the configuration version in force in the sender.
@@ -348,11 +354,12 @@
 
 // Peer is the other end of a session, for use by an event loop.
 type Peer struct {
-	hello   Hello
-	version uint64
-	leaving bool
-	send    func(Message) bool
-	close   func()
+	hello        Hello
+	version      uint64
+	leaving      bool
+	send         func(Message) bool
+	close        func()
+	lastReceived func() time.Time
 }
 
 // NewPeer returns a peer; send never blocks and reports whether the message was queued, and closeSession ends the session.
@@ -360,6 +367,20 @@
 	return &Peer{hello: hello, version: hello.version, send: send, close: closeSession}
 }
 
+// WithLastReceived sets the function that returns when the session last received a message.
+func (p *Peer) WithLastReceived(lastReceived func() time.Time) *Peer {
+	p.lastReceived = lastReceived
+	return p
+}
+
+// lastReceivedAt returns when the session last received a message, now if that is not known.
+func (p *Peer) lastReceivedAt(now time.Time) time.Time {
+	if p.lastReceived == nil {
+		return now
+	}
+	return p.lastReceived()
+}
+
 // Hello returns what the other process sent when the session opened.
 func (p *Peer) Hello() Hello { return p.hello }
 
--- a/hibiscuscoordination/placement.go
+++ b/hibiscuscoordination/placement.go
@@ -148,7 +148,7 @@
 	if a == nil || len(a.orders) == 0 {
 		return
 	}
-	if !d.send(a.worker.ID(), NewOrdersMessage(a.orders)) {
+	if !d.send(a.worker.ID(), NewOrdersMessage(a.orders).WithDecidedAt(now)) {
 		// The writer's ring is full: the worker counts as full until its next report, or these tasks would be placed there again.
 		a.worker.Report(a.worker.Slots(), 0, now)
 		a.update()
--- a/hibiscuscoordination/policy_test.go
+++ b/hibiscuscoordination/policy_test.go
@@ -295,7 +295,7 @@
 	case "without endpoint":
 		capacity(0, false, false)
 	case "without session":
-		s.d.WorkerDown(s.now, worker)
+		s.d.WorkerDown(s.now, worker, s.now)
 	case "ejected", "probed":
 		s.submit(24, "right")
 		s.reportResults(worker, hibiscusstate.OutcomeFailed, time.Millisecond)
--- a/hibiscuscoordination/racks_test.go
+++ b/hibiscuscoordination/racks_test.go
@@ -81,7 +81,7 @@
 // disconnect ends the sessions of workers at the same time.
 func (s *rackHarness) disconnect(workers []hibiscusstate.Incarnation) {
 	for _, worker := range workers {
-		s.d.WorkerDown(s.now, worker)
+		s.d.WorkerDown(s.now, worker, s.now)
 	}
 	s.d.Flush(s.now)
 	s.logf("%d workers disconnected", len(workers))
--- a/hibiscuscoordination/slot_manager.go
+++ b/hibiscuscoordination/slot_manager.go
@@ -72,10 +72,17 @@
 	// leaveAcknowledged means that the entry has received the notice that the endpoint is leaving, and sends no more orders.
 	leaveAcknowledged bool
 	tasks             int
+	// restartable is how many of these tasks need a permission (permission.go).
+	restartable int
 	// slots is the number of slots of the entry's running and waiting tasks.
-	slots    int
-	lostAt   time.Time
-	orphaned bool
+	slots  int
+	lostAt time.Time
+	// permittedAt is the time at which the agent sent what the entry has echoed last, and permissionRequestedAt when the agent last
+	// asked for a newer echo.
+	permittedAt           time.Time
+	permissionRequestedAt time.Time
+	// permissionEnded means that tasks were stopped since the last echo because their permission had ended.
+	permissionEnded bool
 	// reportedLoad is the load that the entry was sent last; reportedAt is when it was last sent outside a report.
 	reportedLoad Load
 	reportedAt   time.Time
@@ -314,14 +321,22 @@
 
 func (s *SlotManager) add(t *hibiscusstate.AgentTask) {
 	s.tasks.Add(t)
-	s.entryState(t.Entry()).tasks++
-	s.entryState(t.Entry()).slots += t.Order().Resources().Slots()
+	c := s.entryState(t.Entry())
+	c.tasks++
+	c.slots += t.Order().Resources().Slots()
+	if t.Order().Restartable() {
+		c.restartable++
+	}
 }
 
 // uncount subtracts a task that no longer runs or waits from its entry's counts.
 func (s *SlotManager) uncount(t *hibiscusstate.AgentTask) {
-	s.entryState(t.Entry()).tasks--
-	s.entryState(t.Entry()).slots -= t.Order().Resources().Slots()
+	c := s.entryState(t.Entry())
+	c.tasks--
+	c.slots -= t.Order().Resources().Slots()
+	if t.Order().Restartable() {
+		c.restartable--
+	}
 }
 
 // fits reports whether the endpoint has the free resources for a task.
@@ -410,6 +425,7 @@
 		}
 		s.rejectWaiting(t, hibiscusstate.RejectionWaitTimeout)
 	}
+	s.renewPermissions(now)
 	s.stopOrphans(now)
 	s.nextOverdue = s.observeOverdueRuns(now)
 	s.sendLoad(now)
@@ -429,11 +445,7 @@
 	s.trackFreeCapacity(now, s.committedSlots())
 	next := now.Add(time.Second)
 	next = earliest(earliest(next, s.nextLoadDue()), s.nextOverdue)
-	for _, c := range s.entries {
-		if due := c.lostAt.Add(orphanTimeout); !c.connected && c.tasks > 0 && due.After(now) && due.Before(next) {
-			next = due
-		}
-	}
+	next = earliest(next, s.nextPermissionDue(now))
 	for _, t := range s.waiting {
 		due := t.AcceptedAt().Add(t.Order().WaitLimit())
 		if due.Before(next) && !s.isPinned(t) {
--- a/hibiscuscoordination/slot_manager_named.go
+++ b/hibiscuscoordination/slot_manager_named.go
@@ -8,12 +8,12 @@
 )
 
 // An agent never has two runs of one task of a named job at the same time. The client of such a job submits it again to any
-// entry when its connection breaks. Tasks of an entry without a session are stopped before that, and a task that arrives again
-// through another entry waits for the end of its previous run.
+// entry when its connection breaks. Tasks that their entry no longer permits are stopped before that (permission.go), and a task
+// that arrives again through another entry waits for the end of its previous run.
 
 const (
-	// orphanTimeout is how long restartable tasks continue without a session to their entry. A client whose connection broke
-	// submits its job again 1.3 s later; a lost session is detected within 0.9 s, and a stop takes 50 ms.
+	// orphanTimeout is how long restartable tasks continue without a session to their entry, if their permission does not end before.
+	// It leaves time for a reconnection; after that the resources serve others.
 	orphanTimeout = 300 * time.Millisecond
 )
 
@@ -48,20 +48,49 @@
 	return nil
 }
 
-// stopOrphans stops the restartable tasks whose entry has had no session for orphanTimeout: their client may submit the job to
-// another entry, which has no record of these runs.
+// stopOrphans stops the restartable tasks that their entry no longer permits: the entry, or another one to which the client submits
+// the job again, counts these runs as ended.
 func (s *SlotManager) stopOrphans(now time.Time) {
-	for _, c := range s.entries {
-		c.orphaned = !c.connected && c.tasks > 0 && now.Sub(c.lostAt) >= orphanTimeout
-	}
 	for _, t := range slices.Clone(s.waiting) {
-		if t.Order().Restartable() && s.entryState(t.Entry()).orphaned {
+		if s.isOrphan(now, t) {
+			s.logPermissionEnded(now, t.Entry())
 			s.rejectWaiting(t, hibiscusstate.RejectionStopped)
 		}
 	}
 	for slot, t := range s.slots {
-		if t != nil && t.Order().Restartable() && s.entryState(t.Entry()).orphaned {
+		if t != nil && s.isOrphan(now, t) {
+			s.logPermissionEnded(now, t.Entry())
 			s.stop(slot, t.Order().Attempt())
 		}
 	}
 }
+
+// logPermissionEnded writes one line for all tasks of an entry that are stopped until its next echo.
+func (s *SlotManager) logPermissionEnded(now time.Time, entry hibiscusstate.Incarnation) {
+	c := s.entryState(entry)
+	if c.permissionEnded {
+		return
+	}
+	c.permissionEnded = true
+	s.log.Warn("agent: tasks of an entry are stopped, it no longer permits them", "entry", entry.String(), "tasks", c.restartable,
+		"connected", c.connected, "echo_age_ms", now.Sub(c.permittedAt).Milliseconds())
+}
+
+// isOrphan reports whether a restartable task must not continue.
+func (s *SlotManager) isOrphan(now time.Time, t *hibiscusstate.AgentTask) bool {
+	return t.Order().Restartable() && !now.Before(s.permittedUntil(t))
+}
+
+// permittedUntil returns when the permission to run a task ends.
+func (s *SlotManager) permittedUntil(t *hibiscusstate.AgentTask) time.Time {
+	c := s.entryState(t.Entry())
+	from := c.permittedAt
+	if t.PermittedAt().After(from) {
+		from = t.PermittedAt()
+	}
+	until := from.Add(permissionDuration)
+	if lost := c.lostAt.Add(orphanTimeout); !c.connected && lost.Before(until) {
+		return lost
+	}
+	return until
+}
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -25,6 +25,7 @@
 	network      hibiscustransport.Network
 	log          *slog.Logger
 	adapter      *AgentAdapter
+	clock        *hibiscuscoordination.Clock
 }
 
 // NewAgent returns an agent process that is not running yet; its incarnation must be new and random.
@@ -32,7 +33,7 @@
 	settings hibiscusprotocol.AgentSettings, incarnation hibiscusstate.Incarnation,
 	network hibiscustransport.Network, log *slog.Logger,
 ) *Agent {
-	a := &Agent{settings: settings, network: network, log: log}
+	a := &Agent{settings: settings, network: network, log: log, clock: hibiscustransport.NewClock()}
 	identity := hibiscuscoordination.NewIdentity(incarnation, settings.EndpointAddress(), settings.FailureDomain())
 	client := hibiscustransport.NewHTTPClient(network, endpointConnections)
 	a.endpointAPI = hibiscusprotocol.NewEndpointAPI(client,
@@ -41,7 +42,7 @@
 		},
 		func() error { return a.coordination.Leave() })
 	a.coordination = hibiscuscoordination.NewAgent(identity, a.execute, log)
-	a.coordination.SetClock(hibiscustransport.NewClock())
+	a.coordination.SetClock(a.clock)
 	return a
 }
 
@@ -66,7 +67,8 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	connector := hibiscustransport.NewConnector(a.network, a.settings.SharedKey(), hibiscustransport.NewSessionHandlers(
-		a.coordination.Hello, a.coordination.PeerUp, a.coordination.PeerMessage, a.coordination.PeerDown), a.log)
+		a.coordination.Hello, a.coordination.PeerUp, a.coordination.PeerMessage, a.coordination.PeerDown).
+		WithClock(a.clock.Now), a.log)
 	r := chi.NewRouter()
 	if a.adapter == nil {
 		a.endpointAPI.Mount(r)
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -27,6 +27,7 @@
 
 // Entry is an entry process.
 type Entry struct {
+	clock        *hibiscuscoordination.Clock
 	settings     hibiscusprotocol.EntrySettings
 	coordination *hibiscuscoordination.Entry
 	network      hibiscustransport.Network
@@ -73,11 +74,12 @@
 	}
 	e := &Entry{
 		settings: settings, coordination: hibiscuscoordination.NewEntry(identity, event, log), network: network, bus: bus, log: log,
+		clock:               hibiscustransport.NewClock(),
 		refusingJobs:        make(chan struct{}),
 		tableCounters:       func() hibiscuscoordination.TableCounters { return hibiscuscoordination.TableCounters{} },
 		droppedAuditEntries: func() uint64 { return 0 },
 	}
-	e.coordination.SetClock(hibiscustransport.NewClock())
+	e.coordination.SetClock(e.clock)
 	if settings.PlatformAddress() != "" {
 		e.platform = newEntryPlatform(settings, e.coordination, network, log)
 		e.tableCounters, e.droppedAuditEntries = e.platform.tableCounters, e.platform.auditWriter.Dropped
@@ -121,7 +123,8 @@
 	defer stopServing()
 	defer stopSessions()
 	connector := hibiscustransport.NewConnector(e.network, e.settings.SharedKey(), hibiscustransport.NewSessionHandlers(
-		e.coordination.Hello, e.coordination.PeerUp, e.coordination.PeerMessage, e.coordination.PeerDown), e.log)
+		e.coordination.Hello, e.coordination.PeerUp, e.coordination.PeerMessage, e.coordination.PeerDown).
+		WithClock(e.clock.Now), e.log)
 	var goroutines, sessionGoroutines, servers sync.WaitGroup
 	var httpErr error
 	if err := e.startPlatform(); err != nil {
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -33,11 +33,13 @@
 	switch m.Kind() {
 	case hibiscuscoordination.MessageOrders:
 		if n := chunkLength(m.Orders(), func(o hibiscusstate.Order) int { return len(o.Payload()) }); n < len(m.Orders()) {
-			return hibiscuscoordination.NewOrdersMessage(m.Orders()[:n]), hibiscuscoordination.NewOrdersMessage(m.Orders()[n:]), true
+			return hibiscuscoordination.NewOrdersMessage(m.Orders()[:n]).WithTiming(m.Timing()),
+				hibiscuscoordination.NewOrdersMessage(m.Orders()[n:]).WithTiming(m.Timing()), true
 		}
 	case hibiscuscoordination.MessageReports:
 		if n := chunkLength(m.Reports(), func(r hibiscusstate.Report) int { return len(r.Output()) }); n < len(m.Reports()) {
-			return hibiscuscoordination.NewReportsMessage(m.Reports()[:n]), hibiscuscoordination.NewReportsMessage(m.Reports()[n:]), true
+			return hibiscuscoordination.NewReportsMessage(m.Reports()[:n]).WithTiming(m.Timing()),
+				hibiscuscoordination.NewReportsMessage(m.Reports()[n:]).WithTiming(m.Timing()), true
 		}
 	default:
 		// The other messages are small, or are a single answer that can't be split.
@@ -78,7 +80,10 @@
 }
 
 func encodeMessage(m hibiscuscoordination.Message) *hibiscuswire.Frame {
-	var b hibiscuswire.Frame_builder
+	b := hibiscuswire.Frame_builder{
+		SentUs: uint64(m.Timing().Sent().Microseconds()), EchoUs: uint64(m.Timing().Echo().Microseconds()),
+		HeldUs: m.Timing().Held().Microseconds(),
+	}
 	switch m.Kind() {
 	case hibiscuscoordination.MessageHello:
 		b.Hello = encodeHello(m.Hello())
@@ -169,7 +174,7 @@
 	default:
 		in.fail("frame has an unknown body")
 	}
-	return m, in.err
+	return m.WithTiming(in.timing(f)), in.err
 }
 
 func encodeHello(h hibiscuscoordination.Hello) *hibiscuswire.Hello {
@@ -325,6 +330,12 @@
 	return time.Duration(min(max(us, -most), most)) * time.Microsecond
 }
 
+// timing decodes the timing of a frame; a stamp that is out of range counts as none.
+func (in *frameDecoder) timing(f *hibiscuswire.Frame) hibiscuscoordination.Timing {
+	stamp := func(us uint64) time.Duration { return microseconds(int64(min(us, math.MaxInt64))) }
+	return hibiscuscoordination.NewTiming(stamp(f.GetSentUs()), stamp(f.GetEchoUs()), microseconds(f.GetHeldUs()))
+}
+
 func (in *frameDecoder) key(k *hibiscuswire.Key) hibiscusstate.SubmissionKey {
 	if k == nil {
 		in.fail("frame has no submission key")
--- a/hibiscusstandin/network.go
+++ b/hibiscusstandin/network.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MemoryNetwork connects the processes of one test by in-memory pipes. There are two kinds of faults: those of connections
-// (Silence, Cut, Disconnect, Block), and those of a Host (Kill, Freeze), which affect all connections of one run of a process.
-// After Silence, Cut and Disconnect, new connections work.
+// MemoryNetwork connects the processes of one test by in-memory pipes. There are three kinds of faults: those of connections
+// (Silence, Cut, Disconnect, Block), those of a Host (Kill, Freeze), which affect all connections of one run of a process, and those
+// between two of them (Hold). After Silence, Cut and Disconnect, new connections work.
 
 // ErrRefused means that there is no listener on an address or that it is blocked.
 var ErrRefused = errors.New("connection refused")
@@ -22,13 +22,14 @@
 	listeners   map[string]*memoryListener
 	links       []*link
 	blocked     map[string]bool
+	held        map[hostPair]bool
 	delay       time.Duration
 	defaultHost *Host
 }
 
 // NewMemoryNetwork returns a network without listeners that delivers bytes after delay.
 func NewMemoryNetwork(delay time.Duration) *MemoryNetwork {
-	n := &MemoryNetwork{listeners: map[string]*memoryListener{}, blocked: map[string]bool{}, delay: delay}
+	n := &MemoryNetwork{listeners: map[string]*memoryListener{}, blocked: map[string]bool{}, held: map[hostPair]bool{}, delay: delay}
 	n.defaultHost = n.Host()
 	return n
 }
@@ -161,6 +162,19 @@
 	n.each(func(k *link) bool { return k.dialer == h || k.listener == h }, func(k *link) { k.updatePaused() })
 }
 
+// hostPair is two processes; each pair is held in both orders.
+type hostPair struct{ a, b *Host }
+
+// Hold delays everything between two processes, like a partition that heals, until it is called with held false; nothing is lost.
+func (n *MemoryNetwork) Hold(a, b *Host, held bool) {
+	n.mu.Lock()
+	n.held[hostPair{a, b}], n.held[hostPair{b, a}] = held, held
+	n.mu.Unlock()
+	n.each(func(k *link) bool {
+		return k.dialer == a && k.listener == b || k.dialer == b && k.listener == a
+	}, func(k *link) { k.updatePaused() })
+}
+
 // Silence permanently drops all bytes of the open connections to an address in the given directions; the connections stay open.
 func (n *MemoryNetwork) Silence(address string, toListener, toDialer bool) {
 	n.eachTo(address, func(k *link) {
--- a/hibiscusstandin/pipe.go
+++ b/hibiscusstandin/pipe.go
@@ -47,11 +47,12 @@
 func (p *pipe) write(b []byte) (int, error) {
 	for {
 		p.mu.Lock()
-		if p.closed {
+		if p.closed && !p.paused {
 			p.mu.Unlock()
 			return 0, io.ErrClosedPipe
 		}
-		if p.silent.Load() {
+		if p.closed || p.silent.Load() {
+			// The writer doesn't notice that the reader is gone while nothing gets through.
 			p.mu.Unlock()
 			return len(b), nil
 		}
@@ -178,9 +179,10 @@
 	k.toDialer.discard()
 }
 
-// updatePaused pauses the pipes if one of the processes is frozen, and resumes them otherwise; the caller holds the network's lock.
+// updatePaused pauses the pipes if one of the processes is frozen or the pair is held, and resumes them otherwise; the caller holds the
+// network's lock.
 func (k *link) updatePaused() {
-	paused := k.dialer.frozen || k.listener.frozen
+	paused := k.dialer.frozen || k.listener.frozen || k.dialer.network.held[hostPair{k.dialer, k.listener}]
 	k.toListener.setPaused(paused)
 	k.toDialer.setPaused(paused)
 }
--- a/hibiscusstate/agent_task.go
+++ b/hibiscusstate/agent_task.go
@@ -39,6 +39,14 @@
 // AcceptedAt returns when the agent accepted the task.
 func (t *AgentTask) AcceptedAt() time.Time { return t.acceptedAt }
 
+// PermittedAt returns when the entry has at the earliest decided on the order, and when it was accepted if that is unknown.
+func (t *AgentTask) PermittedAt() time.Time {
+	if t.order.decidedAt.IsZero() {
+		return t.acceptedAt
+	}
+	return t.order.decidedAt
+}
+
 // StartedAt returns when the task was sent to the endpoint.
 func (t *AgentTask) StartedAt() time.Time { return t.startedAt }
 
--- a/hibiscusstate/order.go
+++ b/hibiscusstate/order.go
@@ -32,6 +32,7 @@
 	jobName    string
 	mayWait    bool
 	waitLimit  time.Duration
+	decidedAt  time.Time
 }
 
 // NewOrder returns an order for an attempt of a task of a job with count tasks and the given body digest.
@@ -88,6 +89,16 @@
 	return o
 }
 
+// WithDecidedAt returns the order with the earliest time at which its entry can have decided on it, on the agent's clock. The budget
+// counts from then.
+func (o Order) WithDecidedAt(t time.Time) Order {
+	o.decidedAt = t
+	return o
+}
+
+// DecidedAt returns the earliest time at which the entry can have decided on the order, the zero time if that is unknown.
+func (o Order) DecidedAt() time.Time { return o.decidedAt }
+
 // ID returns the id of the task.
 func (o Order) ID() TaskID { return o.attempt.id }
 
--- a/hibiscustransport/activity.go
+++ b/hibiscustransport/activity.go
@@ -43,6 +43,11 @@
 // received records that a frame was received.
 func (a *activity) received(now time.Time) { a.lastReceived.Store(int64(a.offset(now))) }
 
+// lastReceivedAt returns when the last frame was received.
+func (a *activity) lastReceivedAt() time.Time {
+	return a.start.Add(time.Duration(a.lastReceived.Load()))
+}
+
 // taskFrame records that a task frame was sent or received, and reports whether the short times apply from now on.
 func (a *activity) taskFrame(now time.Time) bool {
 	at := a.offset(now)
--- a/hibiscustransport/clock.go
+++ b/hibiscustransport/clock.go
@@ -6,7 +6,7 @@
 	"hibiscusrouter/hibiscuscoordination"
 )
 
-// NewClock returns the clock of the host for one event loop.
+// NewClock returns the clock of the host for one process.
 func NewClock() *hibiscuscoordination.Clock {
 	return hibiscuscoordination.NewClock(time.Now, suspendedTime)
 }
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -87,6 +87,7 @@
 	tasks    *stream
 	peer     *hibiscuscoordination.Peer
 	activity *activity
+	stamps   *stamps
 	// activated has a value when the short times of activity have begun to apply.
 	activated   chan struct{}
 	openReaders atomic.Int32
@@ -113,7 +114,7 @@
 	s := &Session{
 		handlers: handlers, log: log, closed: make(chan struct{}), finished: make(chan struct{}),
 		overflow: make(chan hibiscuscoordination.MessageKind, 1), activity: newActivity(handlers.now(), dialer),
-		activated: make(chan struct{}, 1),
+		activated: make(chan struct{}, 1), stamps: newStamps(handlers.now()),
 	}
 	if err := s.open(conn, secret, dialer); err != nil {
 		conn.Close()
@@ -167,7 +168,7 @@
 		return errors.Mark(err, ErrSession)
 	}
 	s.activity.received(s.handlers.now())
-	s.peer = hibiscuscoordination.NewPeer(hello, s.send, s.finish)
+	s.peer = hibiscuscoordination.NewPeer(hello, s.send, s.finish).WithLastReceived(s.activity.lastReceivedAt)
 	s.openReaders.Store(2)
 	return nil
 }
@@ -238,12 +239,14 @@
 	sent := make(chan error, 1)
 	hello := s.handlers.hello()
 	go func() {
-		sent <- s.control.writeBatch(nil, []hibiscuscoordination.Message{hibiscuscoordination.NewHelloMessage(hello)})
+		m := hibiscuscoordination.NewHelloMessage(hello)
+		sent <- s.control.writeBatch(nil, []hibiscuscoordination.Message{m.WithTiming(s.stamps.outgoing(s.handlers.now(), time.Time{}))})
 	}()
 	m, err := s.control.readMessage()
 	if err := errors.CombineErrors(err, <-sent); err != nil {
 		return hello, errors.Mark(errors.Wrap(err, "exchange hellos"), ErrSession)
 	}
+	s.stamps.incoming(s.handlers.now(), m)
 	if m.Kind() != hibiscuscoordination.MessageHello {
 		return hello, errors.Mark(errors.Newf("the first frame is %s, not hello", m.Kind()), ErrSession)
 	}
@@ -256,7 +259,7 @@
 	if isTaskMessage(m.Kind()) {
 		st = s.tasks
 	}
-	if st.ring.TryPush(m) {
+	if st.ring.TryPush(m.WithTiming(s.stamps.outgoing(s.handlers.now(), m.DecidedAt()))) {
 		return true
 	}
 	if m.Kind() != hibiscuscoordination.MessageOrders && m.Kind() != hibiscuscoordination.MessagePing &&
@@ -340,7 +343,9 @@
 			s.close(err)
 			return
 		}
-		s.activity.received(s.handlers.now())
+		now := s.handlers.now()
+		m = s.stamps.incoming(now, m)
+		s.activity.received(now)
 		if st == s.tasks {
 			s.noteTaskFrame()
 		}
