Date orders by the agent's own stamp

Cause: an order carries the time left until its deadline, and the agent counted it from the arrival of the order, 1.7 s late. What was to bound the age of orders, the entry's lease, is renewed by the arrival of the same bytes. The entry gives the job up at its deadline and forgets the attempt, so nothing stops the run after the cut. Ruled out: the agent's runner (its time limit was the late budget).

Now the agent dates an order by the stamp of its own that the entry had received, plus the time that the entry held it: the earliest time at which the entry can have decided. Budgets count from there, and an order older than the permission (1.2 s) is rejected, as not run. The runner reads the clock once more before it starts a task, for a process that was suspended meanwhile.

--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -189,7 +189,7 @@
 	a.manager.RenewPermission(now, id, m.EchoedAt())
 	switch m.Kind() {
 	case MessageOrders:
-		a.manager.HandleOrders(now, id, m.Orders())
+		a.manager.HandleOrders(now, id, datedOrders(m))
 	case MessageStop:
 		if len(m.Attempts()) == 0 {
 			a.manager.AcknowledgeLeave(id)
@@ -216,6 +216,15 @@
 	}
 }
 
+// datedOrders returns the orders of a message with the earliest time at which their entry can have decided on them.
+func datedOrders(m Message) []hibiscusstate.Order {
+	orders := slices.Clone(m.Orders())
+	for i := range orders {
+		orders[i] = orders[i].WithDecidedAt(m.DecidedAfter())
+	}
+	return orders
+}
+
 // exchangeVersions reports the version in force to an entry that has connected, and records the one in its hello. An entry that
 // restarts while the table is down gets its configuration back from its agents and peers.
 func (a *Agent) exchangeVersions(now time.Time, p *Peer) {
@@ -301,6 +310,10 @@
 	if order.Budget() <= 0 {
 		return NewNotRunResult(hibiscusstate.RejectionExpired)
 	}
+	if by := order.StartBy(); !by.IsZero() && !a.loop.clock.Now().Before(by) {
+		// This process was suspended after it had decided to start the task.
+		return NewNotRunResult(hibiscusstate.RejectionLeaseExpired)
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	timed, cancelTimer := context.WithTimeout(ctx, order.Budget())
 	r.mu.Lock()
--- a/hibiscuscoordination/permission_test.go
+++ b/hibiscuscoordination/permission_test.go
@@ -1,6 +1,7 @@
 package hibiscuscoordination
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 func newNamedOrder(sequence uint64) hibiscusstate.Order {
-	return hibiscusstate.NewOrder(newAttempt(sequence, 0), 1, 7, "check", nil).WithBudget(5 * time.Second).WithLeaseEpoch(1).WithJobName("job")
+	return hibiscusstate.NewOrder(newAttempt(sequence, 0), 1, 7, "check", nil).WithBudget(5 * time.Second).WithLeaseEpoch(1).WithJobName(fmt.Sprint("job-", sequence))
 }
 
 // TestPermission guards against a task that continues when its entry no longer counts on it: messages that were held up, or that move
@@ -57,6 +58,30 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "permission", []byte(strings.Join(s.transcript, "\n")+"\n"))
 }
 
+// TestLateOrders guards against an order that is run although it was held up for so long that its entry no longer counts on it, or
+// until the deadline of its job has passed.
+func TestLateOrders(t *testing.T) {
+	s := newSlotManagerHarness()
+	s.step(0, "an endpoint with two slots announces itself, entry 1 connects", func() {
+		s.SetEndpoint(s.now, "checks", hibiscusstate.NewResources(2, 0, 0))
+		s.EntryUp(s.now, 1)
+	})
+	for i, age := range []time.Duration{10 * time.Millisecond, 1100 * time.Millisecond, permissionDuration} {
+		s.step(0, fmt.Sprintf("an order decided %v ago with 5 s until its deadline, and one with 1.1 s", age), func() {
+			for j, budget := range []time.Duration{5 * time.Second, 1100 * time.Millisecond} {
+				order := newNamedOrder(uint64(2*i + j)).WithBudget(budget).WithDecidedAt(s.now.Add(-age))
+				s.HandleOrders(s.now, 1, []hibiscusstate.Order{order})
+			}
+			for slot, running := range s.slots {
+				if running != nil {
+					s.Finished(s.now, slot, NewRunResult(hibiscusstate.OutcomeFinished, nil, ""))
+				}
+			}
+		})
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "late_orders", []byte(strings.Join(s.transcript, "\n")+"\n"))
+}
+
 // TestLostRunsEnd guards against a task that an entry starts elsewhere before its agent has certainly stopped it.
 func TestLostRunsEnd(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/hibiscuscoordination/slot_manager.go
+++ b/hibiscuscoordination/slot_manager.go
@@ -290,18 +290,22 @@
 		s.duplicates++
 		return hibiscusstate.RejectionNone
 	}
+	age := time.Duration(0)
+	if !order.DecidedAt().IsZero() {
+		age = now.Sub(order.DecidedAt())
+	}
 	switch {
 	case s.sealed.Has(order.ID().Key()):
 		return hibiscusstate.RejectionSealed
 	case s.neverReceived.Has(order.Attempt()):
 		return hibiscusstate.RejectionDuplicate
-	case order.LeaseEpoch() != s.entryState(entry).leaseEpoch:
+	case order.LeaseEpoch() != s.entryState(entry).leaseEpoch, age >= permissionDuration:
 		return hibiscusstate.RejectionLeaseExpired
 	case s.leaving, s.drained:
 		return hibiscusstate.RejectionLeaving
 	case s.capacity.Slots() == 0:
 		return hibiscusstate.RejectionEndpointDown
-	case order.Budget() <= 0:
+	case order.Budget()-age <= 0:
 		return hibiscusstate.RejectionExpired
 	}
 	t := hibiscusstate.NewAgentTask(order, entry, now)
@@ -366,8 +370,11 @@
 	t.Start(slot, now)
 	s.waitTimes.Observe(now.Sub(t.AcceptedAt()))
 	s.started++
-	left := t.Order().Budget() - now.Sub(t.AcceptedAt())
-	s.run(slot, t.Order().WithBudget(left))
+	order := t.Order().WithBudget(t.Order().Budget() - now.Sub(t.PermittedAt()))
+	if order.Restartable() {
+		order = order.WithStartBy(s.permittedUntil(t))
+	}
+	s.run(slot, order)
 }
 
 // Finished reports the result of a slot's task to its entry and starts waiting tasks.
--- a/hibiscusstate/order.go
+++ b/hibiscusstate/order.go
@@ -33,6 +33,7 @@
 	mayWait    bool
 	waitLimit  time.Duration
 	decidedAt  time.Time
+	startBy    time.Time
 }
 
 // NewOrder returns an order for an attempt of a task of a job with count tasks and the given body digest.
@@ -99,6 +100,15 @@
 // DecidedAt returns the earliest time at which the entry can have decided on the order, the zero time if that is unknown.
 func (o Order) DecidedAt() time.Time { return o.decidedAt }
 
+// WithStartBy returns the order with the time, on the agent's clock, from which its runner must not start it.
+func (o Order) WithStartBy(t time.Time) Order {
+	o.startBy = t
+	return o
+}
+
+// StartBy returns the time from which the runner must not start the task, the zero time for none.
+func (o Order) StartBy() time.Time { return o.startBy }
+
 // ID returns the id of the task.
 func (o Order) ID() TaskID { return o.attempt.id }
 
