Claim jobs whose request may have been held up

Cause: an entry that was cut off gets the first submission after the cut, 3 s late, when another entry runs the second one. Nothing in the request says how old it is, and the end of its connection follows a round trip later, so it was submitted with a full deadline. At one agent the former run is stopped first, but two entries may choose two agents. Ruled out: the agents (the late order is fresh).

Now an entry records when it was out of contact: for over a second nothing has arrived that another process has sent lately, as the stamps of the messages prove. A client has sent its request after its connection was last answered or opened. A named job on a connection that was idle since before such a gap is claimed at all other entries first; one that has the job denies the claim, the others hold back its submissions until the release. Other jobs cost nothing.

TestHeldUpRequest failed before: four tasks ran on two workers.

--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -211,7 +211,8 @@
 		a.log.Info("agent: drain state set by an operator", "drained", m.Capacity().Drained())
 		a.manager.SetDrained(id, m.Capacity().Drained())
 	case MessageHello, MessagePing, MessagePong:
-	case MessageReports, MessageRecovered, MessageForward, MessageForwarded, MessageLoad:
+	case MessageReports, MessageRecovered, MessageForward, MessageForwarded, MessageLoad,
+		MessageClaim, MessageClaimed, MessageRelease:
 		a.log.Warn("session: unexpected message for an agent", "kind", m.Kind().String())
 	}
 }
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,6 +31,10 @@
 	fetch        *configurationFetch
 	forwards     map[uint64]*pendingForward
 	recoveries   map[hibiscusstate.SubmissionKey]*recovery
+	claims       *jobClaims
+	contact      contact
+	probedAt     time.Time
+	probes       int
 	drains       map[hibiscusstate.Incarnation]*drainRequest
 	lastRequest  uint64
 	readyHeld    bool
@@ -78,6 +83,7 @@
 		fetch:      newConfigurationFetch(identity.incarnation),
 		forwards:   map[uint64]*pendingForward{},
 		recoveries: map[hibiscusstate.SubmissionKey]*recovery{},
+		claims:     newJobClaims(),
 		drains:     map[hibiscusstate.Incarnation]*drainRequest{},
 		event:      event,
 		log:        log,
@@ -113,17 +119,26 @@
 // SubmitNamed handles a submission that its client has named; reply is called once, on the event loop, and must not block.
 // caller identifies the waiting connection for CallerDisconnected.
 func (e *Entry) SubmitNamed(s *Submission, caller uint64, reply func(*Answer)) error {
-	return e.loop.post(func(now time.Time) { e.dispatcher.SubmitNamed(now, s, caller, reply) })
+	return e.loop.post(func(now time.Time) { e.submitNamed(now, s, caller, reply) })
 }
 
 // CallerDisconnected handles the end of a connection that waited for a named job.
 func (e *Entry) CallerDisconnected(name string, caller uint64) error {
-	return e.loop.post(func(now time.Time) { e.dispatcher.CallerDisconnected(now, name, caller) })
+	return e.loop.post(func(now time.Time) {
+		if !e.dropCaller(name, caller) {
+			e.dispatcher.CallerDisconnected(now, name, caller)
+		}
+	})
 }
 
 // Abandon ends all running jobs for a cause, has the workers stop their tasks, and returns the number of jobs.
 func (e *Entry) Abandon(cause string) (int, error) {
-	return runAndWait(e.loop, func(now time.Time) int { return e.dispatcher.Abandon(now, cause) })
+	return runAndWait(e.loop, func(now time.Time) int {
+		for request := range e.claims.claims {
+			e.refuseClaim(request, cause)
+		}
+		return e.dispatcher.Abandon(now, cause)
+	})
 }
 
 // RunningNamed reports whether a job of that name is running at this entry.
@@ -180,7 +195,7 @@
 // Idle reports whether no job is running and no forward or recovery is pending.
 func (e *Entry) Idle() bool {
 	idle, err := runAndWait(e.loop, func(time.Time) bool {
-		return e.dispatcher.Idle() && len(e.forwards) == 0 && len(e.recoveries) == 0
+		return e.dispatcher.Idle() && len(e.forwards) == 0 && len(e.recoveries) == 0 && len(e.claims.claims) == 0
 	})
 	return err != nil || idle
 }
@@ -199,6 +214,7 @@
 
 // PeerMessage handles a message of a session. Pings and pongs matter to the session only.
 func (e *Entry) PeerMessage(p *Peer, m Message) error {
+	e.contact.observe(e.loop.clock.Now(), m.DecidedAfter())
 	if m.Kind() == MessagePing || m.Kind() == MessagePong {
 		return nil
 	}
@@ -212,6 +228,8 @@
 
 func (e *Entry) afterBatch(now time.Time) {
 	e.dispatcher.Tick(now)
+	e.probeContact(now)
+	e.expireClaims(now)
 	e.expireForwards(now)
 	e.expireRecoveries(now)
 	e.members.expire(now)
@@ -220,8 +238,23 @@
 	e.dispatcher.Flush(now)
 }
 
+// probeContact pings one other process after the other while nothing arrives.
+func (e *Entry) probeContact(now time.Time) {
+	if now.Sub(e.probedAt) < tickInterval || !e.contact.needsProbe(now) {
+		return
+	}
+	e.probedAt = now
+	e.probes++
+	if agents := slices.Sorted(maps.Keys(e.agents)); len(agents) > 0 {
+		e.agents[agents[e.probes%len(agents)]].Send(NewPingMessage())
+	} else if peers := slices.Sorted(maps.Keys(e.peers)); len(peers) > 0 {
+		e.peers[peers[e.probes%len(peers)]][0].Send(NewPingMessage())
+	}
+}
+
 func (e *Entry) nextWake(now time.Time) time.Time {
-	return earliest(earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now)), e.announcer.nextDue())
+	next := earliest(earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now)), e.announcer.nextDue())
+	return earliest(next, e.nextClaimDue())
 }
 
 func (e *Entry) version() uint64 {
@@ -306,6 +339,7 @@
 		e.peers[hello.Incarnation()] = append(e.peers[hello.Incarnation()], p)
 		if len(e.peers[hello.Incarnation()]) == 1 {
 			e.updateEntries()
+			e.entryConnected(now, hello.Incarnation())
 		}
 		e.sendPendingForwards(now, hello.Incarnation())
 	}
@@ -330,6 +364,7 @@
 			delete(e.peers, hello.Incarnation())
 			e.members.markLost(now, hello.Incarnation())
 			e.updateEntries()
+			e.entryLost(now, hello.Incarnation())
 		}
 		e.resendForwards(now, p)
 	}
@@ -372,6 +407,12 @@
 		e.handleForward(now, p, m)
 	case MessageForwarded:
 		e.handleForwardAnswer(m)
+	case MessageClaim:
+		e.handleClaim(now, p, m)
+	case MessageClaimed:
+		e.handleClaimed(now, id, m)
+	case MessageRelease:
+		e.handleRelease(now, id, m.JobName())
 	case MessageConfiguration:
 		e.handleConfiguration(now, p, m.Configuration())
 	case MessageInForce:
--- a/hibiscuscoordination/message.go
+++ b/hibiscuscoordination/message.go
@@ -32,6 +32,9 @@
 	MessageInForce                          // in_force
 	MessageLoad                             // load
 	MessageFetch                            // fetch
+	MessageClaim                            // claim
+	MessageClaimed                          // claimed
+	MessageRelease                          // release
 )
 
 // Role is the role of a process.
@@ -57,9 +60,13 @@
 
 // ProtocolRevision is the revision of the protocol between processes. From revision 1 on, processes fetch configurations and take
 // changes of a member list. Earlier ones wait until they are sent a configuration, take each member list as a whole, and end a session
-// at a message that they don't know. From revision 2 on, messages have a Timing.
+// at a message that they don't know. From revision 2 on, messages have a Timing,
+// and entries answer claims.
 const ProtocolRevision = 2
 
+// claimRevision is the first revision in which entries answer claims.
+const claimRevision = 2
+
 // NewHello returns a hello; version is that of the configuration in force, zero for none.
 func NewHello(role Role, incarnation hibiscusstate.Incarnation, address, domain string, version uint64, capacity Capacity) Hello {
 	return Hello{
@@ -190,6 +197,9 @@
 	removed       []hibiscusstate.Incarnation
 	changes       bool
 	load          Load
+	jobName       string
+	budget        time.Duration
+	denied        bool
 	timing        Timing
 	decidedAt     time.Time
 	echoedAt      time.Time
@@ -286,6 +296,21 @@
 	return Message{kind: MessageForwarded, request: request, answer: answer}
 }
 
+// NewClaimMessage returns a message that claims a named job, which has this much time until its deadline, at another entry.
+func NewClaimMessage(request uint64, jobName string, budget time.Duration) Message {
+	return Message{kind: MessageClaim, request: request, jobName: jobName, budget: budget}
+}
+
+// NewClaimedMessage returns the answer to a claim, which is denied when the entry or another one has the job.
+func NewClaimedMessage(request uint64, denied bool) Message {
+	return Message{kind: MessageClaimed, request: request, denied: denied}
+}
+
+// NewReleaseMessage returns a message that releases a claimed job.
+func NewReleaseMessage(jobName string) Message {
+	return Message{kind: MessageRelease, jobName: jobName}
+}
+
 // NewConfigurationMessage returns a message that carries an accepted configuration.
 func NewConfigurationMessage(configuration *hibiscusstate.Configuration) Message {
 	return Message{kind: MessageConfiguration, configuration: configuration}
@@ -340,6 +365,15 @@
 // Answer returns the answer of a forwarded message.
 func (m Message) Answer() *Answer { return m.answer }
 
+// JobName returns the name of the job of a claim or a release.
+func (m Message) JobName() string { return m.jobName }
+
+// Budget returns the time until the deadline of a claimed job.
+func (m Message) Budget() time.Duration { return m.budget }
+
+// Denied reports whether a claim was denied.
+func (m Message) Denied() bool { return m.denied }
+
 // Configuration returns the configuration of a configuration message.
 func (m Message) Configuration() *hibiscusstate.Configuration { return m.configuration }
 
--- a/hibiscuscoordination/message_string.go
+++ b/hibiscuscoordination/message_string.go
@@ -25,11 +25,14 @@
 	_ = x[MessageInForce-14]
 	_ = x[MessageLoad-15]
 	_ = x[MessageFetch-16]
+	_ = x[MessageClaim-17]
+	_ = x[MessageClaimed-18]
+	_ = x[MessageRelease-19]
 }
 
-const _MessageKind_name = "hellopingpongordersreportsstopsettlerecoverrecoveredforwardforwardedconfigurationmemberscapacityin_forceloadfetch"
+const _MessageKind_name = "hellopingpongordersreportsstopsettlerecoverrecoveredforwardforwardedconfigurationmemberscapacityin_forceloadfetchclaimclaimedrelease"
 
-var _MessageKind_index = [...]uint8{0, 5, 9, 13, 19, 26, 30, 36, 43, 52, 59, 68, 81, 88, 96, 104, 108, 113}
+var _MessageKind_index = [...]uint8{0, 5, 9, 13, 19, 26, 30, 36, 43, 52, 59, 68, 81, 88, 96, 104, 108, 113, 118, 125, 132}
 
 func (i MessageKind) String() string {
 	idx := int(i) - 0
--- a/hibiscuscoordination/submission.go
+++ b/hibiscuscoordination/submission.go
@@ -22,6 +22,8 @@
 	waitTime time.Duration
 	name     string
 	caller   uint64
+	// sentAfter is the earliest time at which the client can have sent the job, the zero time if that is unknown.
+	sentAfter time.Time
 }
 
 // NewSubmission returns a submission of tasks to a service; digest is the digest of the submitted body.
@@ -35,6 +37,12 @@
 	return &Submission{name: name, team: team, service: service, tasks: tasks, attempt: 1}
 }
 
+// WithSentAfter sets the earliest time at which the client can have sent the job: when its connection opened or was last answered.
+func (s *Submission) WithSentAfter(t time.Time) *Submission {
+	s.sentAfter = t
+	return s
+}
+
 // Name returns the name that the client gave to the job, empty for none.
 func (s *Submission) Name() string { return s.name }
 
--- a/hibiscusprotocol/frame.go
+++ b/hibiscusprotocol/frame.go
@@ -121,6 +121,14 @@
 		b.InForce = hibiscuswire.InForce_builder{Version: m.Version()}.Build()
 	case hibiscuscoordination.MessageFetch:
 		b.Fetch = hibiscuswire.Fetch_builder{Version: m.Version()}.Build()
+	case hibiscuscoordination.MessageClaim:
+		b.Claim = hibiscuswire.Claim_builder{
+			Request: m.Request(), JobName: m.JobName(), BudgetUs: m.Budget().Microseconds(),
+		}.Build()
+	case hibiscuscoordination.MessageClaimed:
+		b.Claimed = hibiscuswire.Claimed_builder{Request: m.Request(), Denied: m.Denied()}.Build()
+	case hibiscuscoordination.MessageRelease:
+		b.Release = hibiscuswire.Release_builder{JobName: m.JobName()}.Build()
 	case hibiscuscoordination.MessageLoad:
 		b.Load = hibiscuswire.Load_builder{Others: int32(m.Load().OtherSlots()), Waiting: int32(m.Load().Waiting()),
 			SlownessPermille: permille(m.Load().Slowness())}.Build()
@@ -165,6 +173,13 @@
 		m = hibiscuscoordination.NewInForceMessage(f.GetInForce().GetVersion())
 	case hibiscuswire.Frame_Fetch_case:
 		m = hibiscuscoordination.NewFetchMessage(f.GetFetch().GetVersion())
+	case hibiscuswire.Frame_Claim_case:
+		c := f.GetClaim()
+		m = hibiscuscoordination.NewClaimMessage(c.GetRequest(), c.GetJobName(), microseconds(c.GetBudgetUs()))
+	case hibiscuswire.Frame_Claimed_case:
+		m = hibiscuscoordination.NewClaimedMessage(f.GetClaimed().GetRequest(), f.GetClaimed().GetDenied())
+	case hibiscuswire.Frame_Release_case:
+		m = hibiscuscoordination.NewReleaseMessage(f.GetRelease().GetJobName())
 	case hibiscuswire.Frame_Load_case:
 		m = hibiscuscoordination.NewLoadMessage(hibiscuscoordination.NewLoad(
 			in.nonNegative("others", f.GetLoad().GetOthers()), in.nonNegative("waiting", f.GetLoad().GetWaiting())).
--- a/hibiscustransport/http_server.go
+++ b/hibiscustransport/http_server.go
@@ -21,7 +21,10 @@
 // ServeHTTP serves a handler until ctx is done, then waits at most grace for the open requests to finish.
 func ServeHTTP(ctx context.Context, l net.Listener, handler http.Handler, grace time.Duration) error {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		Handler: trackIdleTime(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, idleTimeKey{}, &idleTime{since: time.Now()})
+		},
 	}
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
@@ -36,6 +39,31 @@
 	return errors.Wrap(<-stopped, "finish HTTP requests")
 }
 
+// idleTimeKey is the key of the idleTime of a connection in the contexts of its requests.
+type idleTimeKey struct{}
+
+// idleTime is since when a connection waits for a request; the requests of a connection are handled one after the other.
+type idleTime struct{ since time.Time }
+
+// IdleSince returns since when the connection of a request was idle before it: since it was accepted, or since the last request on it
+// was answered. The client has not sent the request before that. It returns the zero time for a context of another server.
+func IdleSince(ctx context.Context) time.Time {
+	if idle, ok := ctx.Value(idleTimeKey{}).(*idleTime); ok {
+		return idle.since
+	}
+	return time.Time{}
+}
+
+// trackIdleTime updates the idle time of the connection after each request.
+func trackIdleTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if idle, ok := r.Context().Value(idleTimeKey{}).(*idleTime); ok {
+			idle.since = time.Now()
+		}
+	})
+}
+
 // NewHTTPClient returns a client that connects through the network, with at most perHost connections to one address.
 func NewHTTPClient(network Network, perHost int) *http.Client {
 	return NewHTTPClientWithIdleTimeout(network, perHost, clientIdleTimeout)
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -280,7 +280,8 @@
 	case hibiscuscoordination.MessageHello, hibiscuscoordination.MessagePing, hibiscuscoordination.MessagePong,
 		hibiscuscoordination.MessageSettle, hibiscuscoordination.MessageRecover, hibiscuscoordination.MessageRecovered,
 		hibiscuscoordination.MessageConfiguration, hibiscuscoordination.MessageMembers, hibiscuscoordination.MessageCapacity,
-		hibiscuscoordination.MessageInForce, hibiscuscoordination.MessageLoad, hibiscuscoordination.MessageFetch:
+		hibiscuscoordination.MessageInForce, hibiscuscoordination.MessageLoad, hibiscuscoordination.MessageFetch,
+		hibiscuscoordination.MessageClaim, hibiscuscoordination.MessageClaimed, hibiscuscoordination.MessageRelease:
 		return false
 	}
 	return false
