--- a/hibiscuscoordination/agent_test.go
+++ b/hibiscuscoordination/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
@@ -97,3 +98,21 @@
 	}
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "agent_suspension", []byte(strings.Join(lines, "\n")+"\n"))
 }
+
+// TestRunnerAfterSuspension guards against a task that its runner starts although the process stood still, after the decision to start
+// it, until its permission had ended.
+func TestRunnerAfterSuspension(t *testing.T) {
+	var lines []string
+	for _, pause := range []time.Duration{0, time.Second, permissionDuration, 5 * time.Second} {
+		a := NewAgent(NewIdentity(9, "10.0.2.1:7300", "a"), func(context.Context, hibiscusstate.Order) RunResult {
+			return NewRunResult(hibiscusstate.OutcomeFinished, nil, "")
+		}, slog.New(slog.DiscardHandler))
+		clock := hibiscusstandin.NewClock()
+		a.SetClock(NewClock(clock.Now, clock.Suspended))
+		order := newNamedOrder(1).WithStartBy(a.loop.clock.Now().Add(permissionDuration))
+		clock.Skip(pause)
+		result := a.runTask(&runner{}, order)
+		lines = append(lines, fmt.Sprintf("the process stands still for %v: %s %s", pause, result.outcome, result.rejection))
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "runner_suspension", []byte(strings.Join(lines, "\n")+"\n"))
+}
