Say of a claimed job that was not submitted that it may have run

A claim that is denied, not answered before the deadline, or held back behind the claim of another entry was refused as not run in the last two cases, although the other entry may have run the job: a refusal that says so must be true. Found by reading the diff; TestClaims had 'deadline_passed, not run true' for the unanswered claim, and has 'outcome_unknown, not run false'.

--- a/hibiscuscoordination/claims.go
+++ b/hibiscuscoordination/claims.go
@@ -108,8 +108,7 @@
 	}
 	if m.Denied() {
 		e.dropClaim(m.Request())
-		// The client of this request has left, or will find the job at the other entry.
-		c.reply(NewRefusal(c.submission.key, hibiscusstate.RefusalOutcomeUnknown, false, "another entry runs the job"))
+		c.refuse("another entry runs the job")
 		return
 	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(id hibiscusstate.Incarnation) bool { return id == entry })
@@ -135,8 +134,7 @@
 func (e *Entry) resumeClaim(now time.Time, c *claim) {
 	left := e.dispatcher.budget(c.submission) - now.Sub(c.receivedAt)
 	if left <= 0 {
-		c.reply(NewRefusal(c.submission.key, hibiscusstate.RefusalDeadlinePassed, true, "the deadline passed while another entry had the job").
-			WithRetryAfter(time.Second))
+		c.refuse("the deadline passed while another entry had the job")
 		return
 	}
 	e.dispatcher.SubmitNamed(now, c.submission.WithBudget(left), c.caller, c.reply)
@@ -238,7 +236,12 @@
 func (e *Entry) refuseClaim(request uint64, reason string) {
 	c := e.claims.claims[request]
 	e.dropClaim(request)
-	c.reply(NewRefusal(c.submission.key, hibiscusstate.RefusalDeadlinePassed, true, reason).WithRetryAfter(time.Second))
+	c.refuse(reason)
+}
+
+// refuse answers the caller of a job that this entry does not run, and another one may have run.
+func (c *claim) refuse(reason string) {
+	c.reply(NewRefusal(c.submission.key, hibiscusstate.RefusalOutcomeUnknown, false, reason))
 }
 
 // nextClaimDue returns when expireClaims has to run next, the zero time for never.
