--- a/hibiscusprotocol/fuzz_test.go
+++ b/hibiscusprotocol/fuzz_test.go
@@ -40,6 +40,10 @@
 		hibiscuscoordination.NewForwardedMessage(9, hibiscuscoordination.NewJobAnswer(fuzzKey, hibiscusstate.JobFailed,
 			[]hibiscuscoordination.TaskAnswer{hibiscuscoordination.NewTaskAnswer(hibiscusstate.OutcomeNotRun, nil, "late")})),
 		hibiscuscoordination.NewMembersMessage([]hibiscuscoordination.Member{hibiscuscoordination.NewMember(1, "10.0.0.1:1", "a", 7)}),
+		hibiscuscoordination.NewClaimMessage(9, "00000000000000a1", time.Second).
+			WithTiming(hibiscuscoordination.NewTiming(time.Hour, time.Second, -time.Millisecond)),
+		hibiscuscoordination.NewClaimedMessage(9, true),
+		hibiscuscoordination.NewReleaseMessage("00000000000000a1"),
 	} {
 		b, err := EncodeFrame(nil, m)
 		if err != nil {
