Log how far an event loop is behind, and where a configuration came from

The log could not tell whether the entry was starved of processor time, asked silent peers, or waited for the table: the line about a version in force named no source, nothing measured the event loop, and lost sessions had no cause.

Each batch of an event loop is measured. A loop whose commands wait for 250 ms or more is logged at most once a second, with the time for which it ran commands and the processor time of the process; loop_delay_ms has the waits. A version in force is logged with its source, for how long the process knew that it lagged, and how many processes it asked. Ended sessions are counted by cause, one line a second.

No decision changes.

--- a/hibiscuscapacity/sessions.go
+++ b/hibiscuscapacity/sessions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hibiscusrouter/hibiscuscoordination"
+	"hibiscusrouter/hibiscustransport"
 )
 
 // The cost of sessions while no tasks are sent over them: memory, processor time and bytes.
@@ -45,11 +46,11 @@
 			err = pause(ctx, settleTime)
 		}
 		memory = append(memory, (liveBytes()-before)/1024)
-		used, bytes := processorTime(), r.bytes.Load()
+		used, bytes := hibiscustransport.ProcessorTime(), r.bytes.Load()
 		if err == nil {
 			err = pause(ctx, idleTime)
 		}
-		processor = append(processor, float64((processorTime()-used).Microseconds())/idleTime.Seconds())
+		processor = append(processor, float64((hibiscustransport.ProcessorTime()-used).Microseconds())/idleTime.Seconds())
 		traffic = append(traffic, float64(r.bytes.Load()-bytes)/idleTime.Seconds())
 		r.close()
 		if err != nil {
--- a/hibiscuscapacity/slope.go
+++ b/hibiscuscapacity/slope.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"runtime"
-	"syscall"
-	"time"
 )
 
 // A slope is a linear fit to a cost at three or more sizes. docs/CAPACITY.md multiplies slopes by the planned size, so each has its
@@ -92,12 +90,3 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc + m.StackInuse)
 }
-
-// processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/hibiscuscapacity/tasks.go
+++ b/hibiscuscapacity/tasks.go
@@ -9,6 +9,7 @@
 
 	"hibiscusrouter/hibiscuscoordination"
 	"hibiscusrouter/hibiscusstate"
+	"hibiscusrouter/hibiscustransport"
 )
 
 // The cost of tasks at an entry: the processor time of a task and of a message, and the memory of waiting tasks and of finished
@@ -99,13 +100,13 @@
 	if n == 1 {
 		jobs = tasksPerFigure / 8
 	}
-	used := processorTime()
+	used := hibiscustransport.ProcessorTime()
 	for range jobs {
 		if err := t.submit(n, time.Minute); err != nil {
 			return 0, err
 		}
 	}
-	return float64((processorTime() - used).Nanoseconds()) / 1000 / float64(jobs), nil
+	return float64((hibiscustransport.ProcessorTime() - used).Nanoseconds()) / 1000 / float64(jobs), nil
 }
 
 // measureTasks returns the cost of tasks and messages at an entry, including the bare ends of its sessions.
--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -60,13 +60,16 @@
 	}
 	a.manager = NewSlotManager(identity.incarnation, NewSlotManagerSeams(a.sendToEntry, a.runOnSlot, a.stopSlot))
 	a.manager.SetLogger(log)
-	a.loop = newEventLoop(a.afterBatch, a.nextWake)
+	a.loop = newEventLoop(a.afterBatch, a.nextWake, log)
 	return a
 }
 
 // SetClock sets the clock of the event loop; it must be called before Run.
 func (a *Agent) SetClock(c *Clock) { a.loop.clock = c }
 
+// SetProcessorTime sets the function that returns the processor time of the process; it must be called before Run.
+func (a *Agent) SetProcessorTime(used func() time.Duration) { a.loop.monitor.processorTime = used }
+
 // Run executes the event loop until Stop, and then waits for the runners.
 func (a *Agent) Run() {
 	a.loop.run()
@@ -219,7 +222,7 @@
 	case MessageRecover:
 		a.manager.Recover(id, m.Request(), m.Key())
 	case MessageConfiguration:
-		a.configure(p, m.Configuration())
+		a.configure(now, p, m.Configuration())
 	case MessageInForce:
 		a.recordReport(now, p, m.Version())
 	case MessageFetch:
@@ -261,13 +264,13 @@
 }
 
 // configure applies a version that an entry sent if it is higher; the entries receive the version in force in any case.
-func (a *Agent) configure(p *Peer, c *hibiscusstate.Configuration) {
+func (a *Agent) configure(now time.Time, p *Peer, c *hibiscusstate.Configuration) {
 	if a.configuration != nil && c.Version() <= a.configuration.Version() {
 		p.Send(NewInForceMessage(a.version()))
 		return
 	}
 	a.configuration = c
-	a.log.Info("config: version in force", "version", c.Version())
+	a.fetch.logInForce(a.log, now, c.Version(), p.Hello().Address())
 	for _, entry := range a.entries {
 		entry.Send(NewInForceMessage(a.version()))
 	}
--- a/hibiscuscoordination/agent_snapshot.go
+++ b/hibiscuscoordination/agent_snapshot.go
@@ -28,6 +28,7 @@
 	outcomes     [hibiscusstate.OutcomeStalled + 1]uint64
 	rejections   [hibiscusstate.RejectionStopped + 1]uint64
 	ring         RingSnapshot
+	loopDelays   hibiscusstate.Histogram
 	waitTimes    hibiscusstate.Histogram
 	runTimes     hibiscusstate.Histogram
 	// relativeRunTime is the mean of run time / expected run time at speed 1, zero if unknown.
@@ -52,7 +53,7 @@
 			leaving: m.leaving, drained: m.drained, evacuated: m.evacuated, evacuation: a.evacuated.set.Revision(),
 			started: m.started, duplicates: m.duplicates, leasesRaised: m.leasesRaised,
 			messages: m.messages, records: m.tasks.Len(), bytes: m.tasks.Bytes(), outcomes: m.outcomes, rejections: m.rejections,
-			ring: a.loop.snapshot(), waitTimes: m.waitTimes, runTimes: m.runTimes,
+			ring: a.loop.snapshot(), loopDelays: a.loop.monitor.delays, waitTimes: m.waitTimes, runTimes: m.runTimes,
 			relativeRunTime: m.speed.relativeRunTime(),
 		}
 	})
@@ -117,6 +118,9 @@
 // Rejection returns how many orders were rejected for a reason.
 func (s *AgentSnapshot) Rejection(r hibiscusstate.Rejection) uint64 { return s.rejections[r] }
 
+// LoopDelays returns the longest wait of each batch of the event loop's commands.
+func (s *AgentSnapshot) LoopDelays() hibiscusstate.Histogram { return s.loopDelays }
+
 // Ring returns the state of the event loop's ring.
 func (s *AgentSnapshot) Ring() RingSnapshot { return s.ring }
 
--- a/hibiscuscoordination/configuration.go
+++ b/hibiscuscoordination/configuration.go
@@ -206,7 +206,7 @@
 // handleConfiguration applies a version that another process sent, if it is higher.
 func (e *Entry) handleConfiguration(now time.Time, p *Peer, c *hibiscusstate.Configuration) {
 	e.recordVersion(p, c.Version())
-	if !e.applyConfiguration(now, c) {
+	if !e.applyConfiguration(now, c, p.Hello().Address()) {
 		p.Send(NewInForceMessage(e.version()))
 	}
 }
--- a/hibiscuscoordination/configuration_fetch.go
+++ b/hibiscuscoordination/configuration_fetch.go
@@ -1,6 +1,7 @@
 package hibiscuscoordination
 
 import (
+	"log/slog"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -39,6 +40,10 @@
 	own hibiscusstate.Incarnation
 	// version is the highest version that was reported, zero while there is none to fetch.
 	version uint64
+	// behindSince is when a version above the one in force was reported first, the zero time while none was, and fetches how many
+	// processes were asked since.
+	behindSince time.Time
+	fetches     int
 	// due is when the next process is asked, and rankedUntil until when only the one that ranks first is.
 	due         time.Time
 	rankedUntil time.Time
@@ -55,6 +60,9 @@
 	if version <= max(inForce, f.version) {
 		return
 	}
+	if f.behindSince.IsZero() {
+		f.behindSince = now
+	}
 	f.version = version
 	f.due = now.Add(delay)
 	f.rankedUntil = f.due.Add(rankDelay)
@@ -88,11 +96,25 @@
 		return 0, false
 	}
 	f.asked[best.id] = true
+	f.fetches++
 	f.due = now.Add(f.timeout)
 	f.timeout = min(2*f.timeout, maxFetchTimeout)
 	return best.id, true
 }
 
+// logInForce logs that a version is in force since now, and for how long the process knew that its own was lower.
+func (f *configurationFetch) logInForce(log *slog.Logger, now time.Time, version uint64, source string) {
+	behind := time.Duration(0)
+	if !f.behindSince.IsZero() {
+		behind = now.Sub(f.behindSince)
+	}
+	log.Info("config: version in force", "version", version, "source", source, "behind_ms", behind.Milliseconds(), "fetches", f.fetches)
+	f.behindSince, f.fetches = time.Time{}, 0
+	if f.version > version {
+		f.behindSince = now
+	}
+}
+
 // rank returns the source that ranks first among those with at least a version that were not asked, nil for none.
 func (f *configurationFetch) rank(sources []configurationSource, version uint64) *configurationSource {
 	var best *configurationSource
--- a/hibiscuscoordination/configuration_test.go
+++ b/hibiscuscoordination/configuration_test.go
@@ -24,7 +24,7 @@
 		}, func() {})
 		a.entries[2] = entry
 		for _, version := range []uint64{2, 3, 1, 3, 4} {
-			a.configure(entry, hibiscusstate.NewConfiguration(version, "", nil))
+			a.configure(time.Now(), entry, hibiscusstate.NewConfiguration(version, "", nil))
 		}
 		So(reported, ShouldResemble, []uint64{2, 3, 3, 3, 4})
 	})
@@ -145,7 +145,7 @@
 // apply makes an entry apply a version that it has read from the table.
 func (m *configurationMesh) apply(e *Entry, version uint64) {
 	c := hibiscusstate.NewConfiguration(version, "", hibiscusstate.NewDocument(nil, nil))
-	if e.applyConfiguration(m.now, c) {
+	if e.applyConfiguration(m.now, c, "table") {
 		e.pushConfiguration()
 	}
 	m.deliver()
@@ -223,7 +223,7 @@
 	})
 	Convey("All entries restart without the table, and an agent gives the version back", t, func() {
 		m := newConfigurationMesh(entries, agents, ProtocolRevision)
-		m.agents[7].configure(m.agents[7].entries[1], hibiscusstate.NewConfiguration(5, "", hibiscusstate.NewDocument(nil, nil)))
+		m.agents[7].configure(m.now, m.agents[7].entries[1], hibiscusstate.NewConfiguration(5, "", hibiscusstate.NewDocument(nil, nil)))
 		m.deliver()
 		m.run(2 * time.Second)
 		So(m.lacking(5), ShouldEqual, 0)
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -93,7 +93,7 @@
 	}
 	e.dispatcher = NewDispatcher(identity.incarnation, NewDispatcherSeams(e.sendToAgent, event, randomPart))
 	e.dispatcher.SetLogger(log)
-	e.loop = newEventLoop(e.afterBatch, e.nextWake)
+	e.loop = newEventLoop(e.afterBatch, e.nextWake, log)
 	return e
 }
 
@@ -108,6 +108,9 @@
 // SetClock sets the clock of the event loop; it must be called before Run.
 func (e *Entry) SetClock(c *Clock) { e.loop.clock = c }
 
+// SetProcessorTime sets the function that returns the processor time of the process; it must be called before Run.
+func (e *Entry) SetProcessorTime(used func() time.Duration) { e.loop.monitor.processorTime = used }
+
 // SetFarFactor sets how many times as long a task takes outside the rack that it names; it must be called before Run.
 func (e *Entry) SetFarFactor(factor float64) { e.dispatcher.SetFarFactor(factor) }
 
@@ -168,7 +171,7 @@
 // Configure applies a configuration if its version is higher than the one in force, and reports it to the other processes.
 func (e *Entry) Configure(c *hibiscusstate.Configuration) error {
 	return e.loop.post(func(now time.Time) {
-		if e.applyConfiguration(now, c) {
+		if e.applyConfiguration(now, c, "table") {
 			e.pushConfiguration()
 		}
 	})
@@ -326,15 +329,15 @@
 }
 
 // applyConfiguration applies a version and reports it to all processes, if it is higher than the one in force. It reports whether
-// it did.
-func (e *Entry) applyConfiguration(now time.Time, c *hibiscusstate.Configuration) bool {
+// it did. source is the process from which the version came, or the table.
+func (e *Entry) applyConfiguration(now time.Time, c *hibiscusstate.Configuration, source string) bool {
 	if !e.dispatcher.Configure(now, c) {
 		return false
 	}
 	if e.configuredAt.IsZero() {
 		e.configuredAt = now
 	}
-	e.log.Info("config: version in force", "version", c.Version())
+	e.fetch.logInForce(e.log, now, c.Version(), source)
 	e.broadcast(NewInForceMessage(c.Version()))
 	return true
 }
--- a/hibiscuscoordination/event_loop.go
+++ b/hibiscuscoordination/event_loop.go
@@ -1,6 +1,7 @@
 package hibiscuscoordination
 
 import (
+	"log/slog"
 	"time"
 
 	"hibiscusrouter/hibiscusstate"
@@ -12,6 +13,12 @@
 // command is a function that an event loop calls with the current time.
 type command func(now time.Time)
 
+// queuedCommand is a command with the time at which it was queued.
+type queuedCommand struct {
+	run      command
+	queuedAt time.Time
+}
+
 const (
 	// commandBatchSize is the most commands of a batch; the work after a batch (timers, sending) is done once for all of them.
 	commandBatchSize = 256
@@ -22,22 +29,24 @@
 // eventLoop runs queued commands, and timers between them.
 type eventLoop struct {
 	clock      *Clock
-	ring       *hibiscusstate.Ring[command]
+	ring       *hibiscusstate.Ring[queuedCommand]
 	afterBatch func(now time.Time)
 	nextWake   func(now time.Time) time.Time
+	monitor    loopMonitor
 }
 
 // newEventLoop returns an event loop; afterBatch runs after each batch of commands, and at the time that nextWake returns if no
 // command arrives before.
-func newEventLoop(afterBatch func(now time.Time), nextWake func(now time.Time) time.Time) *eventLoop {
+func newEventLoop(afterBatch func(now time.Time), nextWake func(now time.Time) time.Time, log *slog.Logger) *eventLoop {
 	return &eventLoop{
-		clock: newRuntimeClock(), ring: hibiscusstate.NewRing[command](commandRingCapacity), afterBatch: afterBatch, nextWake: nextWake,
+		clock: newRuntimeClock(), ring: hibiscusstate.NewRing[queuedCommand](commandRingCapacity), afterBatch: afterBatch, nextWake: nextWake,
+		monitor: newLoopMonitor(log),
 	}
 }
 
 // run executes commands until the ring is closed and empty.
 func (l *eventLoop) run() {
-	batch := make([]command, commandBatchSize)
+	batch := make([]queuedCommand, commandBatchSize)
 	for {
 		now := l.clock.Now()
 		n, err := l.ring.PopBatch(batch, max(l.nextWake(now).Sub(now), 0))
@@ -45,17 +54,22 @@
 			return
 		}
 		now = l.clock.Now()
+		oldest := now
+		if n > 0 {
+			oldest = batch[0].queuedAt
+		}
 		for i := range n {
-			batch[i](now)
-			batch[i] = nil
+			batch[i].run(now)
 		}
+		clear(batch[:n])
 		l.afterBatch(now)
+		l.monitor.observe(oldest, now, l.clock.Now(), l.ring.Len())
 	}
 }
 
 // post queues a command; it waits while the ring is full and returns ErrStopped when the event loop has ended.
 func (l *eventLoop) post(c command) error {
-	if err := l.ring.Push(c); err != nil {
+	if err := l.ring.Push(queuedCommand{run: c, queuedAt: l.clock.Now()}); err != nil {
 		return ErrStopped
 	}
 	return nil
--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -132,7 +132,7 @@
 		seams: seams, runs: map[RunID]*leasedRun{}, orphans: map[RunID]bool{}, endedRuns: map[RunID]uint64{}, log: log,
 		wake: make(chan struct{}, 1), gone: true, epoch: uint64(time.Now().UnixMilli()), epochStep: initialEpochStep,
 	}
-	w.loop = newEventLoop(func(time.Time) {}, func(now time.Time) time.Time { return now.Add(time.Second) })
+	w.loop = newEventLoop(func(time.Time) {}, func(now time.Time) time.Time { return now.Add(time.Second) }, log)
 	return w
 }
 
--- a/hibiscuscoordination/snapshot.go
+++ b/hibiscuscoordination/snapshot.go
@@ -207,6 +207,7 @@
 	recoveries      int
 	counters        Counters
 	ring            RingSnapshot
+	loopDelays      hibiscusstate.Histogram
 	jobTimes        hibiscusstate.Histogram
 	placementDelays hibiscusstate.Histogram
 	evacuation      hibiscusscheduling.Evacuation
@@ -255,6 +256,9 @@
 // Counters returns the running totals.
 func (s *EntrySnapshot) Counters() Counters { return s.counters }
 
+// LoopDelays returns the longest wait of each batch of the event loop's commands.
+func (s *EntrySnapshot) LoopDelays() hibiscusstate.Histogram { return s.loopDelays }
+
 // Ring returns the state of the event loop's ring.
 func (s *EntrySnapshot) Ring() RingSnapshot { return s.ring }
 
@@ -266,7 +270,8 @@
 			identity: e.identity, version: e.version(), configured: d.Configuration() != nil, draining: d.draining,
 			running: len(d.deadlines), records: len(d.jobs), bytes: d.recordBytes,
 			forwards: len(e.forwards), recoveries: len(e.recoveries), counters: d.counters, ring: e.loop.snapshot(),
-			jobTimes: d.jobTimes, placementDelays: d.placementDelays,
+			loopDelays: e.loop.monitor.delays,
+			jobTimes:   d.jobTimes, placementDelays: d.placementDelays,
 			evacuation: e.evacuated.set, evacuations: e.evacuated.changes,
 		}
 	})
--- a/hibiscusprocess/agent.go
+++ b/hibiscusprocess/agent.go
@@ -44,6 +44,7 @@
 		func() error { return a.coordination.Leave() })
 	a.coordination = hibiscuscoordination.NewAgent(identity, a.execute, log)
 	a.coordination.SetClock(a.clock)
+	a.coordination.SetProcessorTime(hibiscustransport.ProcessorTime)
 	return a
 }
 
--- a/hibiscusprocess/entry.go
+++ b/hibiscusprocess/entry.go
@@ -85,6 +85,7 @@
 		droppedAuditEntries: func() uint64 { return 0 },
 	}
 	e.coordination.SetClock(e.clock)
+	e.coordination.SetProcessorTime(hibiscustransport.ProcessorTime)
 	e.coordination.SetFarFactor(settings.FarFactor())
 	if memory := settings.Limits().Memory(); memory > 0 {
 		e.coordination.SetMaxRecordBytes(int(memory / recordShare))
--- a/hibiscusprocess/metrics_test.go
+++ b/hibiscusprocess/metrics_test.go
@@ -24,7 +24,7 @@
 	d.must(err)
 	var vars map[string]any
 	d.must(json.Unmarshal(raw, &vars))
-	for _, name := range []string{"goroutines", "memory_bytes", "duty_ring", "session_rings", "worker_messages", "entry_messages"} {
+	for _, name := range []string{"goroutines", "memory_bytes", "duty_ring", "loop_delay_ms", "session_rings", "worker_messages", "entry_messages"} {
 		delete(vars, name)
 	}
 	for _, name := range slices.Sorted(maps.Keys(vars)) {
--- a/hibiscusprotocol/metrics.go
+++ b/hibiscusprotocol/metrics.go
@@ -182,6 +182,7 @@
 	setHistogram(vars, "job_ms", s.JobTimes())
 	setHistogram(vars, "place_ms", s.PlacementDelays())
 	setRing(vars, "duty_ring", s.Ring())
+	setHistogram(vars, "loop_delay_ms", s.LoopDelays())
 	setSpeeds(vars, services)
 	byService := new(expvar.Map).Init()
 	vars.Set("services", byService)
@@ -231,6 +232,7 @@
 	setHistogram(vars, "wait_ms", s.WaitTimes())
 	setHistogram(vars, "run_ms", s.RunTimes())
 	setRing(vars, "duty_ring", s.Ring())
+	setHistogram(vars, "loop_delay_ms", s.LoopDelays())
 }
 
 func collectSessions(vars *expvar.Map, c hibiscuscoordination.SessionCounters) {
--- a/hibiscustransport/connector.go
+++ b/hibiscustransport/connector.go
@@ -47,8 +47,8 @@
 	count int
 }
 
-// warn logs a warning at most once in warningInterval for each message, with the number since the last line.
-func (c *Connector) warn(message, address string, cause error) {
+// report logs a line at most once in warningInterval for each message, with the number since the last line.
+func (c *Connector) report(level slog.Level, message, address string, cause error) {
 	c.mu.Lock()
 	w := c.warnings[message]
 	if w == nil {
@@ -63,7 +63,7 @@
 	}
 	c.mu.Unlock()
 	if due {
-		c.log.Warn(message, "address", address, "cause", cause.Error(), "count", n)
+		c.log.Log(context.Background(), level, message, "address", address, "cause", cause.Error(), "count", n)
 	}
 }
 
@@ -90,7 +90,7 @@
 		if err != nil {
 			// The process has no descriptor left for a while, or the client has left.
 			c.stats.strangers.closeOldest()
-			c.warn("session: connection not accepted", l.Addr().String(), err)
+			c.report(slog.LevelWarn, "session: connection not accepted", l.Addr().String(), err)
 			select {
 			case <-ctx.Done():
 			case <-time.After(acceptBackoff):
@@ -99,9 +99,8 @@
 		}
 		c.stats.strangers.add(conn)
 		c.goroutines.Go(func() {
-			err := c.run(ctx, conn, false)
+			c.run(ctx, conn, false)
 			c.stats.strangers.remove(conn)
-			c.log.Debug("session: ended", "address", conn.RemoteAddr().String(), "cause", err.Error())
 		})
 	}
 }
@@ -150,7 +149,7 @@
 		if dials > 0 {
 			c.stats.reconnects.Add(1)
 		}
-		err := c.dial(ctx, address)
+		c.dial(ctx, address)
 		if time.Since(began) > maxBackoff {
 			backoff = firstBackoff
 			lostAt = time.Now()
@@ -158,7 +157,6 @@
 		if time.Since(lostAt) < earlyPeriod {
 			backoff = min(backoff, earlyBackoff)
 		}
-		c.log.Debug("session: ended", "address", address, "cause", err.Error())
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff):
@@ -167,21 +165,27 @@
 	}
 }
 
-func (c *Connector) dial(ctx context.Context, address string) error {
+func (c *Connector) dial(ctx context.Context, address string) {
 	dialCtx, cancel := context.WithTimeout(ctx, sessionDialTimeout)
 	conn, err := c.network.Dial(dialCtx, address)
 	cancel()
 	if err != nil {
-		return errors.Mark(err, ErrSession)
+		c.report(slog.LevelInfo, "session: can't connect", address, err)
+		return
 	}
-	return c.run(ctx, conn, true)
+	c.run(ctx, conn, true)
 }
 
-func (c *Connector) run(ctx context.Context, conn net.Conn, dialer bool) error {
+// run runs a session until it ends.
+func (c *Connector) run(ctx context.Context, conn net.Conn, dialer bool) {
 	err := RunSession(ctx, conn, c.secret, dialer, c.handlers, c.stats, c.log)
 	c.stats.countEnd(err)
-	if errors.Is(err, ErrHandshake) {
-		c.warn("session: peer was refused", conn.RemoteAddr().String(), err)
+	switch address := conn.RemoteAddr().String(); {
+	case errors.Is(err, ErrHandshake):
+		c.report(slog.LevelWarn, "session: peer was refused", address, err)
+	case errors.Is(err, ErrSilent):
+		c.report(slog.LevelInfo, "session: closed, nothing was received", address, err)
+	default:
+		c.report(slog.LevelInfo, "session: ended", address, err)
 	}
-	return err
 }
--- a/hibiscustransport/guard_test.go
+++ b/hibiscustransport/guard_test.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -295,7 +294,7 @@
 			}
 			answer := make([]byte, 4096)
 			b.ReportAllocs()
-			before := processorTime(b)
+			before := ProcessorTime()
 			for b.Loop() {
 				if _, err := conn.Write(request); err != nil {
 					b.Fatal(err)
@@ -304,19 +303,10 @@
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(ProcessorTime()-before)/float64(b.N), "cpu-ns/op")
 			conn.Close()
 			stop()
 			<-done
 		})
 	}
 }
-
-// processorTime returns the processor time of the process, client and server together, which other load of the machine does not change.
-func processorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
