End the reads of a session's streams before its receiver returns

Cause: a busy wait at the end of a session. yamux closes the channel that all blocked reads of streams select on, then closes the connection, waits for its receiver, and only then marks the streams as closed; until then each read finds its stream open, selects again and repeats. On a VM with one processor the two readers of each session use up their time slices before the receiver gets its turn. An entry that was suspended closes all of its 348 sessions as silent at once, so hundreds of readers poll, for seconds on a fraction of a processor, and a version, whichever way it comes, waits behind them.

The connection below yamux now lets the streams time out when it is closed, which yamux does right after it has closed that channel and without giving up the processor. What a stream has received is still read first. No stream has a deadline otherwise, so a time-out counts as the end of the stream, which is what the readers got before.

--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -82,6 +82,7 @@
 type Session struct {
 	handlers SessionHandlers
 	log      *slog.Logger
+	conn     *muxConn
 	mux      *yamux.Session
 	control  *stream
 	tasks    *stream
@@ -157,7 +158,8 @@
 	cfg.ConnectionWriteTimeout = idleSilentAfter
 	// The session closes the connection soon after its streams; a stream's own close timer would outlive both.
 	cfg.StreamCloseTimeout = 0
-	if err := s.openStreams(conn, cfg, dialer); err != nil {
+	s.conn = newMuxConn(conn)
+	if err := s.openStreams(cfg, dialer); err != nil {
 		return errors.Mark(errors.Wrap(err, "open streams"), ErrSession)
 	}
 	hello, err := s.exchangeHellos()
@@ -174,15 +176,15 @@
 	return nil
 }
 
-func (s *Session) openStreams(conn net.Conn, cfg *yamux.Config, dialer bool) error {
+func (s *Session) openStreams(cfg *yamux.Config, dialer bool) error {
 	var err error
 	if !dialer {
-		if s.mux, err = yamux.Server(conn, cfg); err != nil {
+		if s.mux, err = yamux.Server(s.conn, cfg); err != nil {
 			return err
 		}
 		return s.acceptStreams()
 	}
-	if s.mux, err = yamux.Client(conn, cfg); err != nil {
+	if s.mux, err = yamux.Client(s.conn, cfg); err != nil {
 		return err
 	}
 	if s.control, err = s.openStream(controlStream); err != nil {
@@ -197,6 +199,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.conn.add(conn); err != nil {
+		return nil, err
+	}
 	if _, err := conn.Write([]byte{kind}); err != nil {
 		return nil, err
 	}
@@ -209,6 +214,9 @@
 		if err != nil {
 			return err
 		}
+		if err := s.conn.add(conn); err != nil {
+			return err
+		}
 		var kind [1]byte
 		if _, err := io.ReadFull(conn, kind[:]); err != nil {
 			return err
@@ -336,7 +344,8 @@
 func (s *Session) read(st *stream) {
 	for {
 		m, err := st.readMessage()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrTimeout) {
+			// A stream times out only because its connection is closed.
 			if s.openReaders.Add(-1) == 0 {
 				s.close(errors.New("finished by the peer"))
 			}
