Back off from a peer whose host accepts connections and which doesn't answer

Cause: the dialer starts its backoff anew after a session that lasted longer than the largest backoff, and measured from the dial. A handshake that times out after 1 s counted as such a session, so a process dialled every 1.05 s for as long as the peer was silent.

A session that was not opened no longer ends the backoff.

--- a/hibiscustransport/connector.go
+++ b/hibiscustransport/connector.go
@@ -149,8 +149,8 @@
 		if dials > 0 {
 			c.stats.reconnects.Add(1)
 		}
-		c.dial(ctx, address)
-		if time.Since(began) > maxBackoff {
+		opened := c.dial(ctx, address)
+		if opened && time.Since(began) > maxBackoff {
 			backoff = firstBackoff
 			lostAt = time.Now()
 		}
@@ -165,19 +165,20 @@
 	}
 }
 
-func (c *Connector) dial(ctx context.Context, address string) {
+// dial opens a session to an address, runs it until it ends, and reports whether it was open.
+func (c *Connector) dial(ctx context.Context, address string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, sessionDialTimeout)
 	conn, err := c.network.Dial(dialCtx, address)
 	cancel()
 	if err != nil {
 		c.report(slog.LevelInfo, "session: can't connect", address, err)
-		return
+		return false
 	}
-	c.run(ctx, conn, true)
+	return c.run(ctx, conn, true)
 }
 
-// run runs a session until it ends.
-func (c *Connector) run(ctx context.Context, conn net.Conn, dialer bool) {
+// run runs a session until it ends, and reports whether it was open.
+func (c *Connector) run(ctx context.Context, conn net.Conn, dialer bool) bool {
 	err := RunSession(ctx, conn, c.secret, dialer, c.handlers, c.stats, c.log)
 	c.stats.countEnd(err)
 	switch address := conn.RemoteAddr().String(); {
@@ -188,4 +189,5 @@
 	default:
 		c.report(slog.LevelInfo, "session: ended", address, err)
 	}
+	return !errors.Is(err, errNotOpened)
 }
--- a/hibiscustransport/errors.go
+++ b/hibiscustransport/errors.go
@@ -10,4 +10,6 @@
 	ErrSilent = errors.New("connection is unresponsive")
 	// ErrSession means that a session ended.
 	ErrSession = errors.New("session ended")
+	// errNotOpened marks the end of a session that was not opened.
+	errNotOpened = errors.New("the session was not opened")
 )
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -119,7 +119,7 @@
 	}
 	if err := s.open(conn, secret, dialer, stats); err != nil {
 		conn.Close()
-		return err
+		return errors.Mark(err, errNotOpened)
 	}
 	stats.add(s)
 	defer stats.remove(s)
