Report versions that follow each other quickly once

A process now reports a version at once and then not more often than every 250 ms (entries) or every second (agents); of the versions in between only the last is reported. A single change is reported as before. A process that the table refuses has a version up to 250 ms later, and only while versions follow each other.

--- a/hibiscuscoordination/agent.go
+++ b/hibiscuscoordination/agent.go
@@ -27,6 +27,7 @@
 	runners          []*runner
 	configuration    *hibiscusstate.Configuration
 	fetch            *configurationFetch
+	reports          versionReports
 	evacuated        evacuatedDomains
 	announcedAt      time.Time
 	announced        bool
@@ -55,6 +56,7 @@
 		entries:  map[hibiscusstate.Incarnation]*Peer{},
 		members:  newMemberLists(),
 		fetch:    newConfigurationFetch(identity.incarnation),
+		reports:  newVersionReports(agentReportInterval),
 		execute:  execute,
 		log:      log,
 	}
@@ -263,17 +265,16 @@
 	a.recordReport(now, p, p.Hello().Version())
 }
 
-// configure applies a version that an entry sent if it is higher; the entries receive the version in force in any case.
+// configure applies a version that an entry sent if it is higher, and has it reported to the entries; the sender receives the version in
+// force in any case.
 func (a *Agent) configure(now time.Time, p *Peer, c *hibiscusstate.Configuration) {
+	defer func() { p.Send(NewInForceMessage(a.version())) }()
 	if a.configuration != nil && c.Version() <= a.configuration.Version() {
-		p.Send(NewInForceMessage(a.version()))
 		return
 	}
 	a.configuration = c
 	a.fetch.logInForce(a.log, now, c.Version(), p.Hello().Address())
-	for _, entry := range a.entries {
-		entry.Send(NewInForceMessage(a.version()))
-	}
+	a.reports.markChanged()
 }
 
 func (a *Agent) version() uint64 {
@@ -292,6 +293,11 @@
 	a.manager.Tick(now)
 	a.members.expire(now)
 	a.fetchConfiguration(now)
+	if a.reports.take(now) {
+		for _, entry := range a.entries {
+			entry.Send(NewInForceMessage(a.version()))
+		}
+	}
 	if a.evacuated.takeResend(now) {
 		for _, p := range a.entries {
 			a.evacuated.send(now, p)
@@ -300,7 +306,8 @@
 }
 
 func (a *Agent) nextWake(now time.Time) time.Time {
-	return earliest(earliest(a.manager.NextTick(now), a.fetch.nextDue(now)), a.evacuated.resendDue)
+	next := earliest(earliest(a.manager.NextTick(now), a.fetch.nextDue(now)), a.reports.nextDue())
+	return earliest(next, a.evacuated.resendDue)
 }
 
 func (a *Agent) sendToEntry(entry hibiscusstate.Incarnation, m Message) bool {
--- a/hibiscuscoordination/configuration_test.go
+++ b/hibiscuscoordination/configuration_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"hibiscusrouter/hibiscusstate"
@@ -38,7 +40,9 @@
 	agents   []*Agent
 	received map[hibiscusstate.Incarnation]int
 	sent     map[hibiscusstate.Incarnation]int
-	queue    []func()
+	// reports counts the versions that each process has reported.
+	reports map[hibiscusstate.Incarnation]int
+	queue   []func()
 	// lost makes the next configuration get lost.
 	lost bool
 }
@@ -46,6 +50,7 @@
 func newConfigurationMesh(entries, agents, revision int) *configurationMesh {
 	m := &configurationMesh{
 		now: time.Unix(1_000_000, 0), received: map[hibiscusstate.Incarnation]int{}, sent: map[hibiscusstate.Incarnation]int{},
+		reports: map[hibiscusstate.Incarnation]int{},
 	}
 	log := slog.New(slog.DiscardHandler)
 	for i := range entries {
@@ -102,6 +107,9 @@
 		m.received[to.incarnation]++
 		m.sent[from.incarnation]++
 	}
+	if message.Kind() == MessageInForce {
+		m.reports[from.incarnation]++
+	}
 	for _, e := range m.entries {
 		if e.identity != to {
 			continue
@@ -231,6 +239,36 @@
 	})
 }
 
+// TestVersionsInQuickSuccession guards against processes that report each of many versions to all others: with 55 entries and 240 agents,
+// an entry sent 294 messages for each of 25 versions within 2 s, and received as many.
+func TestVersionsInQuickSuccession(t *testing.T) {
+	const (
+		entries, agents = 6, 60
+		versions        = 25
+		gap             = 80 * time.Millisecond
+	)
+	m := newConfigurationMesh(entries, agents, ProtocolRevision)
+	m.run(time.Second)
+	clear(m.reports)
+	var lines []string
+	for version := uint64(1); version <= versions; version++ {
+		for _, e := range m.entries {
+			m.apply(e, version)
+		}
+		m.run(gap)
+	}
+	began := m.now
+	for m.lacking(versions) > 0 && m.now.Sub(began) < 10*time.Second {
+		m.run(10 * time.Millisecond)
+	}
+	lines = append(lines, fmt.Sprintf("the last of %d versions is in force everywhere after %v", versions, m.now.Sub(began)+gap))
+	m.run(2 * time.Second)
+	lines = append(lines,
+		fmt.Sprintf("an entry has sent %d reports to each process", m.reports[m.entries[0].identity.incarnation]/(entries-1+agents)),
+		fmt.Sprintf("an agent has sent %d reports to each entry", m.reports[m.agents[0].identity.incarnation]/entries))
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "versions_in_quick_succession", []byte(strings.Join(lines, "\n")+"\n"))
+}
+
 // TestVersionIsPushedToEarlierRevisions guards against processes of an earlier release that never get a version, because they do not
 // fetch, or that end their sessions because they are asked for one.
 func TestVersionIsPushedToEarlierRevisions(t *testing.T) {
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -29,6 +29,7 @@
 	announcer    memberAnnouncer
 	lostAgents   map[hibiscusstate.Incarnation]lostAgent
 	fetch        *configurationFetch
+	reports      versionReports
 	evacuated    evacuatedDomains
 	forwards     map[uint64]*pendingForward
 	recoveries   map[hibiscusstate.SubmissionKey]*recovery
@@ -83,6 +84,7 @@
 		members:    newMemberLists(),
 		lostAgents: map[hibiscusstate.Incarnation]lostAgent{},
 		fetch:      newConfigurationFetch(identity.incarnation),
+		reports:    newVersionReports(entryReportInterval),
 		forwards:   map[uint64]*pendingForward{},
 		recoveries: map[hibiscusstate.SubmissionKey]*recovery{},
 		claims:     newJobClaims(),
@@ -266,6 +268,9 @@
 	e.expireRecoveries(now)
 	e.members.expire(now)
 	e.fetchConfiguration(now)
+	if e.reports.take(now) {
+		e.broadcast(NewInForceMessage(e.version()))
+	}
 	if e.evacuated.takeResend(now) {
 		e.sendEvacuation(now)
 	}
@@ -288,7 +293,7 @@
 }
 
 func (e *Entry) nextWake(now time.Time) time.Time {
-	next := earliest(earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now)), e.announcer.nextDue())
+	next := earliest(earliest(e.dispatcher.NextTick(), e.fetch.nextDue(now)), earliest(e.announcer.nextDue(), e.reports.nextDue()))
 	return earliest(earliest(earliest(next, e.nextClaimDue()), e.nextCancellationDue()), e.evacuated.resendDue)
 }
 
@@ -328,7 +333,7 @@
 	e.dispatcher.Submit(now, s, withKey)
 }
 
-// applyConfiguration applies a version and reports it to all processes, if it is higher than the one in force. It reports whether
+// applyConfiguration applies a version if it is higher than the one in force, and has it reported to all processes. It returns whether
 // it did. source is the process from which the version came, or the table.
 func (e *Entry) applyConfiguration(now time.Time, c *hibiscusstate.Configuration, source string) bool {
 	if !e.dispatcher.Configure(now, c) {
@@ -338,7 +343,7 @@
 		e.configuredAt = now
 	}
 	e.fetch.logInForce(e.log, now, c.Version(), source)
-	e.broadcast(NewInForceMessage(c.Version()))
+	e.reports.markChanged()
 	return true
 }
 
