--- a/hibiscuscoordination/configuration.go
+++ b/hibiscuscoordination/configuration.go
@@ -203,6 +203,20 @@
 	e.recordReport(now, p, p.Hello().Version())
 }
 
+// applyConfiguration applies a version if it is higher than the one in force, and has it reported to all processes. It returns whether
+// it did. source is the process from which the version came, or the table.
+func (e *Entry) applyConfiguration(now time.Time, c *hibiscusstate.Configuration, source string) bool {
+	if !e.dispatcher.Configure(now, c) {
+		return false
+	}
+	if e.configuredAt.IsZero() {
+		e.configuredAt = now
+	}
+	e.fetch.logInForce(e.log, now, c.Version(), source)
+	e.reports.markChanged()
+	return true
+}
+
 // handleConfiguration applies a version that another process sent, if it is higher.
 func (e *Entry) handleConfiguration(now time.Time, p *Peer, c *hibiscusstate.Configuration) {
 	e.recordVersion(p, c.Version())
--- a/hibiscuscoordination/entry.go
+++ b/hibiscuscoordination/entry.go
@@ -333,20 +333,6 @@
 	e.dispatcher.Submit(now, s, withKey)
 }
 
-// applyConfiguration applies a version if it is higher than the one in force, and has it reported to all processes. It returns whether
-// it did. source is the process from which the version came, or the table.
-func (e *Entry) applyConfiguration(now time.Time, c *hibiscusstate.Configuration, source string) bool {
-	if !e.dispatcher.Configure(now, c) {
-		return false
-	}
-	if e.configuredAt.IsZero() {
-		e.configuredAt = now
-	}
-	e.fetch.logInForce(e.log, now, c.Version(), source)
-	e.reports.markChanged()
-	return true
-}
-
 // broadcast sends a message to all agents, and once to each entry.
 func (e *Entry) broadcast(m Message) {
 	e.eachPeer(func(p *Peer) { p.Send(m) })
