Let a session's receiver end it, without deadlines on its streams

Cause of the first: expired deadlines, with which the streams of a closed connection were ended. The same aim without them: a session is closed by closing its connection, and a failed write closes it and waits for the receiver. So yamux learns of the end from its receiver only, finds that it has returned, and ends the streams without giving up the processor in between.

--- a/hibiscustransport/mux_conn.go
+++ b/hibiscustransport/mux_conn.go
@@ -3,45 +3,39 @@
 import (
 	"net"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// muxConn is the connection of a yamux session. yamux marks the session as shut down, closes the connection, waits until its receiver has
-// returned, and only then ends the streams. In between, a blocked read or write of a stream would repeat without pause, so muxConn lets
-// them time out first. It is safe for concurrent use.
+// muxConn is the connection of a yamux session, which is closed with Close instead of the session's own Close. yamux ends its streams only
+// when its receiver has returned; if it is shut down before, each blocked read of a stream repeats without pause until then. So it may
+// learn of the end of the connection from its receiver only. It is safe for concurrent use.
 type muxConn struct {
 	net.Conn
-	mu      sync.Mutex
-	closed  bool
-	streams []net.Conn
+	readOnce sync.Once
+	// readEnded is closed when a read has failed, after which the receiver ends the session.
+	readEnded chan struct{}
 }
 
-// expired is a deadline that has passed.
-var expired = time.Unix(1, 0)
-
-func newMuxConn(conn net.Conn) *muxConn { return &muxConn{Conn: conn} }
+func newMuxConn(conn net.Conn) *muxConn {
+	return &muxConn{Conn: conn, readEnded: make(chan struct{})}
+}
 
-// add registers a stream whose reads and writes end with the connection.
-func (c *muxConn) add(stream net.Conn) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.streams = append(c.streams, stream)
-	if c.closed {
-		return stream.SetDeadline(expired)
+// Read implements net.Conn.
+func (c *muxConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.readOnce.Do(func() { close(c.readEnded) })
 	}
-	return nil
+	return n, err
 }
 
-// Close implements net.Conn.
-func (c *muxConn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	var err error
-	for _, stream := range c.streams {
-		err = errors.CombineErrors(err, stream.SetDeadline(expired))
+// Write implements net.Conn. A failed write closes the connection and returns after the receiver has noticed.
+func (c *muxConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		err = errors.CombineErrors(err, c.Close())
+		<-c.readEnded
 	}
-	return errors.CombineErrors(c.Conn.Close(), err)
+	return n, err
 }
--- a/hibiscustransport/session.go
+++ b/hibiscustransport/session.go
@@ -164,7 +164,7 @@
 	}
 	hello, err := s.exchangeHellos()
 	if err != nil {
-		s.mux.Close()
+		s.conn.Close()
 		return err
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
@@ -199,9 +199,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.conn.add(conn); err != nil {
-		return nil, err
-	}
 	if _, err := conn.Write([]byte{kind}); err != nil {
 		return nil, err
 	}
@@ -214,9 +211,6 @@
 		if err != nil {
 			return err
 		}
-		if err := s.conn.add(conn); err != nil {
-			return err
-		}
 		var kind [1]byte
 		if _, err := io.ReadFull(conn, kind[:]); err != nil {
 			return err
@@ -344,8 +338,7 @@
 func (s *Session) read(st *stream) {
 	for {
 		m, err := st.readMessage()
-		if errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrTimeout) {
-			// A stream times out only because its connection is closed.
+		if errors.Is(err, io.EOF) {
 			if s.openReaders.Add(-1) == 0 {
 				s.close(errors.New("finished by the peer"))
 			}
@@ -476,6 +469,6 @@
 		close(s.closed)
 		s.control.ring.Close()
 		s.tasks.ring.Close()
-		s.mux.Close()
+		s.conn.Close()
 	})
 }
