Let each test entry listen before the next process dials it

Seen: beside load, TestSilenceToAgents noted that the two entries connect again at 5.6 s instead of 5.5 s.

Cause, from a trace of the watchdog's decisions: nothing is late at the end of the session, it was opened 50 ms later at the start. All processes of the deployment start at the same instant of the bubble's clock, and whether the second entry dials before the first one listens is left to the scheduler. When it does, its first dial is refused and the next one follows 50 ms later; the session is at 52 ms instead of 2 ms, so are its pings, and it is lost at 5.555 s instead of 5.505 s. Both orders are correct, the transcript was not.

The deployment now waits until an entry is idle before it starts the next process, as TestSessionMetrics did for its agent. The golden file is unchanged.

--- a/hibiscusprocess/deployment_test.go
+++ b/hibiscusprocess/deployment_test.go
@@ -392,6 +392,7 @@
 func (d *deployment) startProcesses(entries, workers int) {
 	for i := range entries {
 		d.startEntry(fmt.Sprintf("10.0.1.%d", i+1))
+		synctest.Wait() // otherwise the next process may dial before this one listens, and dials again 50 ms later
 	}
 	for i := range workers {
 		d.startWorker(fmt.Sprintf("10.0.2.%d", i+1), 2)
