--- a/hibiscustransport/connector_test.go
+++ b/hibiscustransport/connector_test.go
@@ -17,7 +17,7 @@
 )
 
 // TestDialsOfASuspendedPeer guards against a process that dials a peer without backoff while the peer's host accepts connections and the
-// peer doesn't answer: a suspended entry of the large fleet found up to 1,957 connections that their processes had given up.
+// peer doesn't answer: the peer finds all these connections when it goes on.
 func TestDialsOfASuspendedPeer(t *testing.T) {
 	var lines []string
 	synctest.Test(t, func(t *testing.T) {
