Log why a run is reported as ended, and which incarnation and epoch its start had

No line said which incarnation of the endpoint a start was sent to, with which epoch, whether it was answered, or from what the agent concluded that a run had ended.

- 'endpoint: run concluded to have ended' for each end that the endpoint has not listed itself: the evidence (missing from a list, restarted, connection refused, lease expired), the incarnation and epoch of the start and of now, whether it was answered, the age of the start and of the last list.
- 'endpoint: stopping a run that this process did not start' says whether this process has reported the run as ended before: that is a task that may have run twice.
- 'endpoint: new incarnation' and 'start got no answer' name the epoch and the incarnation; 'agent: task ended' gives the reason.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -270,7 +270,7 @@
 	for _, r := range response.ended {
 		w.cursor = max(w.cursor, r.sequence)
 		if run := w.runs[r.run]; run != nil {
-			w.endRun(run, r.end)
+			w.endRun(now, run, r.end, EvidenceListed)
 		}
 		if r.end == EndDone {
 			w.consecutiveStalls, w.suspension = 0, 0
@@ -313,9 +313,9 @@
 			continue
 		}
 		if run.begun {
-			w.endRun(run, EndLapsed)
+			w.endRun(now, run, EndLapsed, EvidenceMissing)
 		} else {
-			w.endRun(run, EndNotBegun)
+			w.endRun(now, run, EndNotBegun, EvidenceMissing)
 		}
 	}
 }
@@ -323,7 +323,9 @@
 // stopOrphan stops a run that an earlier agent process started. Its resources are not known, so no capacity is offered until
 // it has ended.
 func (w *LeasedEndpoint) stopOrphan(id RunID) {
-	w.log.Warn("endpoint: stopping a run that this process did not start", "job", id.job, "index", id.index, "run", id.number)
+	_, reported := w.endedRuns[id]
+	w.log.Warn("endpoint: stopping a run that this process did not start", "job", id.job, "index", id.index, "run", id.number,
+		"reported_as_ended", reported, "endpoint", w.incarnation.id, "born", w.incarnation.startMs, "epoch", w.epoch)
 	w.orphans[id] = true
 	incarnation, epoch := w.incarnation, w.epoch
 	w.goroutines.Go(func() {
@@ -349,13 +351,13 @@
 		w.epochStep *= 2
 		w.log.Warn("endpoint: epoch raised, the endpoint has seen a higher one", "endpoint", w.incarnation.id, "epoch", w.epoch)
 	case errors.Is(err, ErrEndpointGone):
-		w.endAllRuns("the endpoint is down")
+		w.endAllRuns(now, EvidenceRefused)
 		w.withdrawOffer(err.Error())
 		w.markGone(now)
 	case now.Sub(w.lastAnswerAt) > maxRenewalSilence:
 		w.withdrawOffer("the endpoint does not answer polls: " + err.Error())
 		if now.After(w.leaseEnd.Add(endpointLeaseDuration/50 + leaseSlack)) {
-			w.endAllRuns("the endpoint does not answer polls and its lease has expired")
+			w.endAllRuns(now, EvidenceLeaseExpired)
 			w.markGone(now)
 		}
 	}
@@ -395,19 +397,26 @@
 }
 
 // endAllRuns ends all runs as lapsed.
-func (w *LeasedEndpoint) endAllRuns(cause string) {
+func (w *LeasedEndpoint) endAllRuns(now time.Time, evidence EndEvidence) {
 	if len(w.runs) > 0 {
-		w.log.Warn("endpoint: all runs have ended", "runs", len(w.runs), "cause", cause)
+		w.log.Warn("endpoint: all runs have ended", "endpoint", w.incarnation.id, "born", w.incarnation.startMs, "runs", len(w.runs),
+			"cause", evidence.String())
 	}
 	for _, run := range w.runs {
-		w.endRun(run, EndLapsed)
+		w.endRun(now, run, EndLapsed, evidence)
 	}
 }
 
 // endRun removes a run and sends its end to the runner.
-func (w *LeasedEndpoint) endRun(run *leasedRun, endRun RunEnd) {
+func (w *LeasedEndpoint) endRun(now time.Time, run *leasedRun, end RunEnd, evidence EndEvidence) {
+	if evidence != EvidenceListed {
+		w.log.Info("endpoint: run concluded to have ended", "job", run.id.job, "index", run.id.index, "run", run.id.number,
+			"end", end.String(), "evidence", evidence.String(), "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
+			"requested_from", run.startMs, "run_epoch", run.epoch, "epoch", w.epoch, "answered", run.answered,
+			"requested_ms", now.Sub(run.requestedAt).Milliseconds(), "last_list_ms", now.Sub(w.lastAnswerAt).Milliseconds())
+	}
 	w.removeRun(run)
-	run.ended <- endRun
+	run.ended <- end
 }
 
 // removeRun removes a run, and records that it has ended, because the lists of earlier polls may still contain it.
--- a/hibiscuscoordination/leased_incarnation.go
+++ b/hibiscuscoordination/leased_incarnation.go
@@ -120,10 +120,11 @@
 
 // startIncarnation resets the state for an endpoint that has restarted: all runs of its previous incarnation have ended.
 func (w *LeasedEndpoint) startIncarnation(now time.Time, incarnation EndpointIncarnation) {
-	w.endAllRuns("the endpoint has restarted")
-	w.log.Info("endpoint: new incarnation", "endpoint", incarnation.id, "born", incarnation.startMs, "address", incarnation.address)
+	w.endAllRuns(now, EvidenceRestarted)
 	w.incarnation = incarnation
 	w.epoch = max(w.epoch+1, uint64(now.UnixMilli()))
+	w.log.Info("endpoint: new incarnation", "endpoint", incarnation.id, "born", incarnation.startMs, "address", incarnation.address,
+		"epoch", w.epoch)
 	w.announcement.sequence = 0
 	w.announcement.draining = false
 	w.startBy, w.coldUntil, w.coldTotal = time.Time{}, time.Time{}, 0
--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -12,8 +12,11 @@
 
 // leasedRun is a run that may be in progress.
 type leasedRun struct {
-	id    RunID
-	begun bool
+	id RunID
+	// startMs and epoch are the incarnation to which the start was sent, and its epoch.
+	startMs int64
+	epoch   uint64
+	begun   bool
 	// answered means that the start or the stop was answered, and pollsAtAnswer is the number of polls that had been sent by then.
 	// The run has ended if the list of a later poll lacks it.
 	answered      bool
@@ -47,7 +50,8 @@
 		case StartAccepted:
 			return w.awaitEnd(ctx, params)
 		case StartUnanswered:
-			w.log.Warn("endpoint: start got no answer, stopping the run", "job", id.job, "index", id.index, "run", id.number)
+			w.log.Warn("endpoint: start got no answer, stopping the run", "job", id.job, "index", id.index, "run", id.number,
+				"endpoint", incarnation.id, "born", incarnation.startMs, "epoch", params.request.epoch)
 			return w.stopAndAwait(ctx, params)
 		case StartOutdated:
 			number *= 2
@@ -75,7 +79,8 @@
 			return startParams{}
 		}
 		run := &leasedRun{
-			id: id, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1), expected: order.Expected(), requestedAt: now, progressAt: now,
+			id: id, startMs: w.incarnation.startMs, epoch: w.epoch, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1),
+			expected: order.Expected(), requestedAt: now, progressAt: now,
 		}
 		w.runs[id] = run
 		w.maxRunSlots = max(w.maxRunSlots, order.Resources().Slots())
--- a/hibiscuscoordination/leased_runs.go
+++ b/hibiscuscoordination/leased_runs.go
@@ -7,7 +7,7 @@
 	"hibiscusrouter/hibiscusstate"
 )
 
-//go:generate stringer -type=StartResult,RunEnd -linecomment -output=leased_runs_string.go
+//go:generate stringer -type=StartResult,RunEnd,EndEvidence -linecomment -output=leased_runs_string.go
 
 // The requests of an agent to an endpoint that runs tasks under leases, and their answers, without their encoding. The agent
 // starts and stops runs, and polls for the running and the ended ones. All runs are killed when the endpoint's lease expires,
@@ -40,6 +40,19 @@
 	EndNotBegun               // not_begun
 )
 
+// EndEvidence is why a run counts as ended.
+type EndEvidence int
+
+// The evidence. EvidenceListed is the endpoint's own list of ends, EvidenceMissing a list without the run, EvidenceRestarted the start of
+// another incarnation, EvidenceRefused a refused connection, and EvidenceLeaseExpired silence until the lease has expired.
+const (
+	EvidenceListed       EndEvidence = iota // listed
+	EvidenceMissing                         // missing_from_list
+	EvidenceRestarted                       // restarted
+	EvidenceRefused                         // connection_refused
+	EvidenceLeaseExpired                    // lease_expired
+)
+
 // RunID identifies one run of a task: the name of its job, its index in the job, and the number of the run, from one. A
 // higher number is a later run.
 type RunID struct {
--- a/hibiscuscoordination/slot_manager.go
+++ b/hibiscuscoordination/slot_manager.go
@@ -372,7 +372,7 @@
 	}
 	s.log.Info("agent: task ended", "job", t.Order().JobName(), "index", t.Order().ID().Index(), "try", t.Order().Attempt().Number(),
 		"entry", t.Entry().String(), "outcome", result.outcome.String(), "rejection", result.rejection.String(),
-		"waited_ms", t.StartedAt().Sub(t.AcceptedAt()).Milliseconds(), "ran_ms", now.Sub(t.StartedAt()).Milliseconds(),
+		"reason", result.reason, "waited_ms", t.StartedAt().Sub(t.AcceptedAt()).Milliseconds(), "ran_ms", now.Sub(t.StartedAt()).Milliseconds(),
 		"used", s.used.Slots(), "room", s.capacity.Slots())
 	if result.rejection != hibiscusstate.RejectionNone {
 		s.tasks.Drop(t)
