--- a/hibiscusstandin/network.go
+++ b/hibiscusstandin/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +15,7 @@
 // between two of them (Hold). After Silence, Cut and Disconnect, new connections work.
 
 // ErrRefused means that there is no listener on an address or that it is blocked.
-var ErrRefused = errors.New("connection refused")
+var ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "dial")
 
 // MemoryNetwork is safe for concurrent use.
 type MemoryNetwork struct {
