End the runs in doubt at a restarted endpoint only when its next incarnation is fenced

Cause: the agent took the first sign of a restart, a list with another start, a new announcement or a refused connection, as the end of all runs that it had requested, and the entry placed their tasks again at once. That holds for runs that had begun, not for starts that were under way or unanswered: the next incarnation has seen no epoch, so until it has answered a request with the raised one it carries out what was sent to its predecessor. A start that it had accepted counted as one of its predecessor as well.

Change: the end of an incarnation ends only the runs whose start had been carried out before the poll that shows it was sent. The others stay until a list that was requested with a higher epoch than their start: what it lists goes on under this agent, what it lacks can't begin any more. When no incarnation answers, they end when the lease has expired; a lease is not renewed while the endpoint is gone. An answer of one incarnation no longer sets the clock of another.

Ruled out: the entry's own conclusion, after 2.4 s of silence. In the cases of the test that are cut off, the agent was in touch again when the task was placed.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -25,6 +25,11 @@
 // A request without an answer may take effect up to 12 s later, when the endpoint has restarted under its name and lost the
 // record of the stop, or when another agent process has taken over, which has not reserved resources for the run. So all requests
 // carry an epoch, which rises with each agent process and each incarnation of the endpoint, and an endpoint ignores lower ones.
+//
+// A new incarnation has not seen any epoch, so until it has answered a request with the raised one it may still begin a run whose
+// start was sent to its predecessor. The end of an incarnation therefore ends only the runs whose start had been carried out by then.
+// The others stay registered until a list that was requested with a higher epoch than their start has them, in progress or ended, or
+// lacks them; or until the lease has expired, when no incarnation answers.
 
 const (
 	// endpointLeaseDuration is the duration of a lease from each renewal; endpoints accept at most a second.
@@ -191,10 +196,10 @@
 			return
 		}
 		if err != nil {
-			w.pollFailed(now, err)
+			w.pollFailed(now, params.number, err)
 			return
 		}
-		w.applyResponse(now, params.number, response)
+		w.applyResponse(now, params, response)
 	}))
 	return err == nil
 }
@@ -211,7 +216,7 @@
 	}
 	w.pollsSent++
 	request := PollRequest{cursor: w.cursor, wait: wait, epoch: w.epoch}
-	if len(w.runs) > 0 && now.Sub(w.lastAnswerAt) < maxRenewalSilence {
+	if len(w.runs) > 0 && !w.gone && now.Sub(w.lastAnswerAt) < maxRenewalSilence {
 		request.leaseEndMs = w.renewLease(now)
 	}
 	timeout := wait + pollTimeoutSlack
@@ -252,11 +257,12 @@
 	w.endpointClock, w.clockReadAt = clock, now
 }
 
-// applyResponse updates the runs from the response to the poll with the given number.
-func (w *LeasedEndpoint) applyResponse(now time.Time, number uint64, response PollResponse) {
+// applyResponse updates the runs from the response to a poll.
+func (w *LeasedEndpoint) applyResponse(now time.Time, poll pollParams, response PollResponse) {
 	if response.startMs != 0 && response.startMs != w.incarnation.startMs {
 		w.log.Warn("endpoint: response of another incarnation", "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
 			"answering", response.startMs)
+		w.endDeliveredRuns(now, poll.number, response.runs(), EvidenceRestarted)
 		restarted := NewEndpointIncarnation(w.incarnation.id, response.startMs, w.incarnation.address)
 		if w.candidate.incarnation.startMs == response.startMs {
 			w.adoptCandidate(now)
@@ -277,11 +283,11 @@
 		}
 		delete(w.orphans, r.run)
 	}
-	if number < w.lastAppliedPoll {
+	if poll.number < w.lastAppliedPoll {
 		return
 	}
-	w.lastAppliedPoll = number
-	w.reconcileRuns(now, number, response.running)
+	w.lastAppliedPoll = poll.number
+	w.reconcileRuns(now, poll, response.running)
 	if !w.stateKnown && len(w.orphans) == 0 {
 		w.stateKnown = true
 		w.log.Info("endpoint: first list is empty", "endpoint", w.incarnation.id, "born", w.incarnation.startMs)
@@ -290,16 +296,17 @@
 }
 
 // reconcileRuns ends the runs that the list of a poll lacks, and stops listed runs that this process did not start.
-func (w *LeasedEndpoint) reconcileRuns(now time.Time, number uint64, running []ListedRun) {
+func (w *LeasedEndpoint) reconcileRuns(now time.Time, poll pollParams, running []ListedRun) {
 	listed := make(map[RunID]bool, len(running))
 	for _, r := range running {
 		listed[r.run] = true
 		if run := w.runs[r.run]; run != nil {
+			w.recordListed(now, run)
 			if run.observeProgress(now, r.percent) {
 				w.recordStall(now)
 			}
 		}
-		if w.runs[r.run] == nil && !w.orphans[r.run] && w.endedRuns[r.run] < number {
+		if w.runs[r.run] == nil && !w.orphans[r.run] && w.endedRuns[r.run] < poll.number {
 			w.stopOrphan(r.run)
 		}
 	}
@@ -309,17 +316,36 @@
 		}
 	}
 	for id, run := range w.runs {
-		if listed[id] || !run.answered || run.pollsAtAnswer >= number {
-			continue
-		}
-		if run.begun {
+		switch {
+		case listed[id], !run.isSettledBy(poll):
+		case run.begun:
 			w.endRun(now, run, EndLapsed, EvidenceMissing)
-		} else {
+		default:
 			w.endRun(now, run, EndNotBegun, EvidenceMissing)
 		}
 	}
 }
 
+// recordListed records that a list has a run, which may have begun in a later incarnation than the one that its start was sent to.
+func (w *LeasedEndpoint) recordListed(now time.Time, run *leasedRun) {
+	if run.startMs != w.incarnation.startMs {
+		w.log.Warn("endpoint: run began in a later incarnation", "job", run.id.job, "index", run.id.index, "run", run.id.number,
+			"endpoint", w.incarnation.id, "born", w.incarnation.startMs, "requested_from", run.startMs, "run_epoch", run.epoch)
+		run.startMs, run.requestedAt, run.progressAt, run.percent = w.incarnation.startMs, now, now, 0
+		w.extendLease(now)
+	}
+	if !run.delivered {
+		run.recordDelivery(w.pollsSent)
+	}
+}
+
+// extendLease records that the lease may last from now on: the endpoint carried out a request at a time that is not known exactly.
+func (w *LeasedEndpoint) extendLease(now time.Time) {
+	if end := now.Add(endpointLeaseDuration); end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
 // stopOrphan stops a run that an earlier agent process started. Its resources are not known, so no capacity is offered until
 // it has ended.
 func (w *LeasedEndpoint) stopOrphan(id RunID) {
@@ -343,26 +369,36 @@
 	})
 }
 
-// pollFailed handles a poll that returned no list. Runs end at once if the endpoint is down, otherwise when the lease expires.
-func (w *LeasedEndpoint) pollFailed(now time.Time, err error) {
+// pollFailed handles a poll that returned no list. If the endpoint is down, the runs that had begun have ended; all runs end when the
+// lease expires.
+func (w *LeasedEndpoint) pollFailed(now time.Time, number uint64, err error) {
 	switch {
 	case errors.Is(err, ErrStaleEpoch):
 		w.epoch += w.epochStep
 		w.epochStep *= 2
 		w.log.Warn("endpoint: epoch raised, the endpoint has seen a higher one", "endpoint", w.incarnation.id, "epoch", w.epoch)
 	case errors.Is(err, ErrEndpointGone):
-		w.endAllRuns(now, EvidenceRefused)
 		w.withdrawOffer(err.Error())
+		w.endDeliveredRuns(now, number, nil, EvidenceRefused)
+		w.expireLease(now)
 		w.markGone(now)
 	case now.Sub(w.lastAnswerAt) > maxRenewalSilence:
 		w.withdrawOffer("the endpoint does not answer polls: " + err.Error())
-		if now.After(w.leaseEnd.Add(endpointLeaseDuration/50 + leaseSlack)) {
-			w.endAllRuns(now, EvidenceLeaseExpired)
+		if w.expireLease(now) {
 			w.markGone(now)
 		}
 	}
 }
 
+// expireLease ends all runs if the lease has expired, and reports whether it has.
+func (w *LeasedEndpoint) expireLease(now time.Time) bool {
+	if !now.After(w.leaseEnd.Add(endpointLeaseDuration/50 + leaseSlack)) {
+		return false
+	}
+	w.endAllRuns(now)
+	return true
+}
+
 // offerCapacity offers the endpoint's capacity to the agent, unless the state of the endpoint is unknown or it is suspended.
 func (w *LeasedEndpoint) offerCapacity(now time.Time) {
 	if now.Before(w.suspendedUntil) || !w.stateKnown || len(w.orphans) > 0 || w.announcement.draining || w.withdrawn ||
@@ -396,14 +432,20 @@
 	}
 }
 
-// endAllRuns ends all runs as lapsed.
-func (w *LeasedEndpoint) endAllRuns(now time.Time, evidence EndEvidence) {
-	if len(w.runs) > 0 {
-		w.log.Warn("endpoint: all runs have ended", "endpoint", w.incarnation.id, "born", w.incarnation.startMs, "runs", len(w.runs),
-			"cause", evidence.String())
+// endDeliveredRuns ends the runs whose start had been carried out before the poll with the given number was sent: the incarnation that
+// did so is gone, unless the run is in the list of its successor.
+func (w *LeasedEndpoint) endDeliveredRuns(now time.Time, number uint64, listed map[RunID]bool, evidence EndEvidence) {
+	for id, run := range w.runs {
+		if run.delivered && run.pollsAtAnswer < number && !listed[id] {
+			w.endRun(now, run, EndLapsed, evidence)
+		}
 	}
+}
+
+// endAllRuns ends all runs because the lease has expired.
+func (w *LeasedEndpoint) endAllRuns(now time.Time) {
 	for _, run := range w.runs {
-		w.endRun(now, run, EndLapsed, evidence)
+		w.endRun(now, run, EndLapsed, EvidenceLeaseExpired)
 	}
 }
 
@@ -413,6 +455,7 @@
 		w.log.Info("endpoint: run concluded to have ended", "job", run.id.job, "index", run.id.index, "run", run.id.number,
 			"end", end.String(), "evidence", evidence.String(), "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
 			"requested_from", run.startMs, "run_epoch", run.epoch, "epoch", w.epoch, "answered", run.answered,
+			"delivered", run.delivered,
 			"requested_ms", now.Sub(run.requestedAt).Milliseconds(), "last_list_ms", now.Sub(w.lastAnswerAt).Milliseconds())
 	}
 	w.removeRun(run)
--- a/hibiscuscoordination/leased_incarnation.go
+++ b/hibiscuscoordination/leased_incarnation.go
@@ -84,10 +84,11 @@
 	return next != w.incarnation && (w.gone || !w.stateKnown && next.startMs >= w.incarnation.startMs)
 }
 
-// markGone records that the endpoint is gone. It is polled on, as it may be back, unless it has withdrawn its announcement.
+// markGone records that the endpoint is gone. It is polled on, as it may be back, unless it has withdrawn its announcement and no run is
+// left.
 func (w *LeasedEndpoint) markGone(now time.Time) {
 	w.stateKnown, w.gone = false, true
-	if w.withdrawn {
+	if w.withdrawn && len(w.runs) == 0 {
 		w.incarnation = EndpointIncarnation{}
 	}
 	w.adoptCandidate(now)
@@ -118,13 +119,13 @@
 	})
 }
 
-// startIncarnation resets the state for an endpoint that has restarted: all runs of its previous incarnation have ended.
+// startIncarnation resets the state for an endpoint that has restarted, and raises the epoch. The runs that are left stay until a
+// list with the raised epoch.
 func (w *LeasedEndpoint) startIncarnation(now time.Time, incarnation EndpointIncarnation) {
-	w.endAllRuns(now, EvidenceRestarted)
 	w.incarnation = incarnation
 	w.epoch = max(w.epoch+1, uint64(now.UnixMilli()))
 	w.log.Info("endpoint: new incarnation", "endpoint", incarnation.id, "born", incarnation.startMs, "address", incarnation.address,
-		"epoch", w.epoch)
+		"epoch", w.epoch, "runs_in_doubt", len(w.runs))
 	w.announcement.sequence = 0
 	w.announcement.draining = false
 	w.startBy, w.coldUntil, w.coldTotal = time.Time{}, time.Time{}, 0
--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hibiscusrouter/hibiscusstate"
 )
 
@@ -13,12 +15,13 @@
 // leasedRun is a run that may be in progress.
 type leasedRun struct {
 	id RunID
-	// startMs and epoch are the incarnation to which the start was sent, and its epoch.
+	// startMs is the incarnation in which the run was requested or is listed, and epoch that of its start.
 	startMs int64
 	epoch   uint64
 	begun   bool
+	// delivered means that the start has been carried out, because it was answered or the run was listed: it has no later effect.
+	delivered bool
 	// answered means that the start or the stop was answered, and pollsAtAnswer is the number of polls that had been sent by then.
-	// The run has ended if the list of a later poll lacks it.
 	answered      bool
 	pollsAtAnswer uint64
 	ended         chan RunEnd
@@ -32,6 +35,17 @@
 	stallReported bool
 }
 
+// recordDelivery records that the start has been carried out, after so many polls had been sent.
+func (r *leasedRun) recordDelivery(pollsSent uint64) {
+	r.begun, r.delivered, r.answered, r.pollsAtAnswer = true, true, true, pollsSent
+}
+
+// isSettledBy reports whether the run has ended, or will never begin, if the list of a poll lacks it: the poll was sent after the
+// incarnation had answered the start or the stop, or its epoch keeps the start from taking effect later.
+func (r *leasedRun) isSettledBy(poll pollParams) bool {
+	return r.answered && r.pollsAtAnswer < poll.number || r.epoch < poll.request.epoch
+}
+
 // Execute runs one task and returns its result; it is called by the runner of a slot.
 func (w *LeasedEndpoint) Execute(ctx context.Context, order hibiscusstate.Order) RunResult {
 	number := order.Attempt().Number() + 1
@@ -99,12 +113,13 @@
 		if w.runs[run.id] != run {
 			return
 		}
-		if clock > 0 {
+		if clock > 0 && run.startMs == w.incarnation.startMs {
 			w.setClock(now, clock)
 		}
 		switch result {
 		case StartAccepted:
-			run.begun, run.answered, run.pollsAtAnswer = true, true, w.pollsSent
+			run.recordDelivery(w.pollsSent)
+			w.extendLease(now)
 			if w.startLatency == 0 {
 				w.startLatency = now.Sub(run.requestedAt)
 			}
@@ -151,10 +166,14 @@
 		if err == nil {
 			break
 		}
+		delay := stopRetryDelay
+		if errors.Is(err, ErrEndpointGone) {
+			delay = pollRetryDelay
+		}
 		select {
 		case end := <-run.ended:
 			return resultOfEnd(end, ctx.Err() != nil)
-		case <-time.After(stopRetryDelay):
+		case <-time.After(delay):
 		}
 	}
 	w.logError(w.loop.post(func(time.Time) { run.answered, run.pollsAtAnswer = true, w.pollsSent }))
--- a/hibiscuscoordination/leased_runs.go
+++ b/hibiscuscoordination/leased_runs.go
@@ -219,6 +219,17 @@
 	return PollResponse{startMs: startMs, clock: clock, running: running, ended: ended}
 }
 
+// runs returns the listed runs, in progress and ended.
+func (r PollResponse) runs() map[RunID]bool {
+	listed := make(map[RunID]bool, len(r.running)+len(r.ended))
+	for _, list := range [][]ListedRun{r.running, r.ended} {
+		for _, l := range list {
+			listed[l.run] = true
+		}
+	}
+	return listed
+}
+
 // Running returns the runs in progress.
 func (r PollResponse) Running() []ListedRun { return r.running }
 
