Repeat a start without an answer instead of placing its task elsewhere

Cause: a start without an answer was stopped after 25 to 150 ms, and its task was reported as not begun. The stop binds only the incarnation that answered it. The next one, which has no record of it, carries the start out before it is fenced. A run that had been accepted after such a start counted as ended at the first sign of a restart, although the former request could still begin it.

Change: the request is repeated, up to eight times, while the incarnation is the same; an endpoint begins a run only once, so the answer to the repeat also says that the run is there, and the task stays in one place. A run of which a request got no answer ends at a restart only with a list of the fenced incarnation. After eight requests, or when the task is cancelled, it is stopped as before.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -82,6 +82,9 @@
 	initialEpochStep = 5000
 	// maxAnnouncementAge bounds the age of an announcement by the endpoint's clock; a higher one means that its clocks differ.
 	maxAnnouncementAge = 10 * time.Second
+	// startRetryDelay is the delay before a start without an answer is repeated, and maxStartRequests how often it is requested.
+	startRetryDelay  = 10 * time.Millisecond
+	maxStartRequests = 8
 	// maxStartAttempts bounds the run numbers that a start tries when the endpoint has seen higher ones.
 	maxStartAttempts = 12
 	// maxEndedRuns bounds the records of ended runs.
@@ -334,8 +337,8 @@
 		run.startMs, run.requestedAt, run.progressAt, run.percent = w.incarnation.startMs, now, now, 0
 		w.extendLease(now)
 	}
-	if !run.delivered {
-		run.recordDelivery(w.pollsSent)
+	if !run.begun {
+		run.recordBegin(w.pollsSent)
 	}
 }
 
@@ -436,7 +439,7 @@
 // did so is gone, unless the run is in the list of its successor.
 func (w *LeasedEndpoint) endDeliveredRuns(now time.Time, number uint64, listed map[RunID]bool, evidence EndEvidence) {
 	for id, run := range w.runs {
-		if run.delivered && run.pollsAtAnswer < number && !listed[id] {
+		if run.isDelivered() && run.pollsAtAnswer < number && !listed[id] {
 			w.endRun(now, run, EndLapsed, evidence)
 		}
 	}
@@ -455,7 +458,7 @@
 		w.log.Info("endpoint: run concluded to have ended", "job", run.id.job, "index", run.id.index, "run", run.id.number,
 			"end", end.String(), "evidence", evidence.String(), "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
 			"requested_from", run.startMs, "run_epoch", run.epoch, "epoch", w.epoch, "answered", run.answered,
-			"delivered", run.delivered,
+			"delivered", run.isDelivered(),
 			"requested_ms", now.Sub(run.requestedAt).Milliseconds(), "last_list_ms", now.Sub(w.lastAnswerAt).Milliseconds())
 	}
 	w.removeRun(run)
--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -18,10 +18,12 @@
 	// startMs is the incarnation in which the run was requested or is listed, and epoch that of its start.
 	startMs int64
 	epoch   uint64
-	begun   bool
-	// delivered means that the start has been carried out, because it was answered or the run was listed: it has no later effect.
-	delivered bool
-	// answered means that the start or the stop was answered, and pollsAtAnswer is the number of polls that had been sent by then.
+	// begun means that the start was accepted or that the run was listed.
+	begun bool
+	// requests and answers count the requests to start the run, and their answers.
+	requests int
+	answers  int
+	// answered means that a start or the stop was answered, and pollsAtAnswer is the number of polls that had been sent by then.
 	answered      bool
 	pollsAtAnswer uint64
 	ended         chan RunEnd
@@ -35,9 +37,15 @@
 	stallReported bool
 }
 
-// recordDelivery records that the start has been carried out, after so many polls had been sent.
-func (r *leasedRun) recordDelivery(pollsSent uint64) {
-	r.begun, r.delivered, r.answered, r.pollsAtAnswer = true, true, true, pollsSent
+// recordBegin records that the run has begun, and that so many polls had been sent by then.
+func (r *leasedRun) recordBegin(pollsSent uint64) {
+	r.begun, r.answered, r.pollsAtAnswer = true, true, pollsSent
+}
+
+// isDelivered reports whether all requests to start the run have been carried out, so that none has a later effect: they were answered,
+// or the only one without an answer is the one that began the run.
+func (r *leasedRun) isDelivered() bool {
+	return r.begun && r.requests <= max(r.answers, 1)
 }
 
 // isSettledBy reports whether the run has ended, or will never begin, if the list of a poll lacks it: the poll was sent after the
@@ -55,17 +63,13 @@
 		if err != nil {
 			return NewNotRunResult(hibiscusstate.RejectionEndpointDown)
 		}
-		run, incarnation := params.run, params.incarnation
-		startCtx, cancel := context.WithTimeout(ctx, params.timeout)
-		result, clock := w.seams.start(startCtx, incarnation, params.request)
-		cancel()
-		w.recordStartResult(run, result, clock)
-		switch result {
+		switch w.requestStart(ctx, &params) {
 		case StartAccepted:
 			return w.awaitEnd(ctx, params)
 		case StartUnanswered:
 			w.log.Warn("endpoint: start got no answer, stopping the run", "job", id.job, "index", id.index, "run", id.number,
-				"endpoint", incarnation.id, "born", incarnation.startMs, "epoch", params.request.epoch)
+				"endpoint", params.incarnation.id, "born", params.incarnation.startMs, "epoch", params.request.epoch,
+				"requests", params.requests)
 			return w.stopAndAwait(ctx, params)
 		case StartOutdated:
 			number *= 2
@@ -80,7 +84,10 @@
 
 // startParams are the parameters of a start and of the stop after it, as of the event loop's state; timeout bounds each request.
 type startParams struct {
-	run         *leasedRun
+	run *leasedRun
+	// requests is the number of this request for the start, and begun means that the run began without an answer.
+	requests    int
+	begun       bool
 	request     StartRequest
 	incarnation EndpointIncarnation
 	timeout     time.Duration
@@ -93,13 +100,13 @@
 			return startParams{}
 		}
 		run := &leasedRun{
-			id: id, startMs: w.incarnation.startMs, epoch: w.epoch, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1),
+			id: id, startMs: w.incarnation.startMs, epoch: w.epoch, requests: 1, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1),
 			expected: order.Expected(), requestedAt: now, progressAt: now,
 		}
 		w.runs[id] = run
 		w.maxRunSlots = max(w.maxRunSlots, order.Resources().Slots())
 		request := StartRequest{run: id, payload: order.Payload(), leaseEndMs: w.renewLease(now), epoch: w.epoch}
-		return startParams{run: run, incarnation: w.incarnation, timeout: w.startTimeout(), request: request}
+		return startParams{run: run, requests: 1, incarnation: w.incarnation, timeout: w.startTimeout(), request: request}
 	})
 	if err == nil && params.run == nil {
 		err = ErrEndpointGone
@@ -107,6 +114,54 @@
 	return params, err
 }
 
+// requestStart requests the start of a run, and repeats the request while it gets no answer: an endpoint begins a run only once. A start
+// without an answer may take effect seconds later, also in the next incarnation, so its task is not placed elsewhere meanwhile.
+// StartUnanswered means that the run may be in progress.
+func (w *LeasedEndpoint) requestStart(ctx context.Context, params *startParams) StartResult {
+	for {
+		startCtx, cancel := context.WithTimeout(ctx, params.timeout)
+		result, clock := w.seams.start(startCtx, params.incarnation, params.request)
+		cancel()
+		w.recordStartResult(params.run, result, clock)
+		if result == StartAccepted || result != StartUnanswered && params.requests == 1 {
+			return result
+		}
+		if result != StartUnanswered || params.requests == maxStartRequests {
+			return StartUnanswered
+		}
+		select {
+		case <-ctx.Done():
+			return StartUnanswered
+		case <-time.After(startRetryDelay):
+		}
+		if !w.prepareRepeat(params) {
+			return StartUnanswered
+		}
+		if params.begun {
+			return StartAccepted
+		}
+	}
+}
+
+// prepareRepeat prepares another request for the start of a run, unless the run has begun. It returns false if the start must not be
+// repeated, because the run has ended or the endpoint is gone or has restarted.
+func (w *LeasedEndpoint) prepareRepeat(params *startParams) bool {
+	repeat, err := runAndWait(w.loop, func(now time.Time) bool {
+		run := params.run
+		if w.runs[run.id] != run || !w.stateKnown || w.incarnation != params.incarnation {
+			return false
+		}
+		if params.begun = run.begun; params.begun {
+			return true
+		}
+		run.requests++
+		params.requests, params.timeout = run.requests, w.startTimeout()
+		params.request.leaseEndMs = w.renewLease(now)
+		return true
+	})
+	return err == nil && repeat
+}
+
 // recordStartResult records the result of a start request, and removes the run if it has certainly not begun.
 func (w *LeasedEndpoint) recordStartResult(run *leasedRun, result StartResult, clock int64) {
 	w.logError(w.loop.post(func(now time.Time) {
@@ -116,9 +171,12 @@
 		if clock > 0 && run.startMs == w.incarnation.startMs {
 			w.setClock(now, clock)
 		}
+		if result != StartUnanswered {
+			run.answers++
+		}
 		switch result {
 		case StartAccepted:
-			run.recordDelivery(w.pollsSent)
+			run.recordBegin(w.pollsSent)
 			w.extendLease(now)
 			if w.startLatency == 0 {
 				w.startLatency = now.Sub(run.requestedAt)
@@ -127,8 +185,10 @@
 		case StartUnanswered:
 		case StartOutdated, StartNoCapacity, StartRefused, StartUnreachable:
 			w.log.Info("endpoint: start not accepted", "job", run.id.job, "index", run.id.index, "run", run.id.number,
-				"verdict", result.String())
-			w.removeRun(run)
+				"verdict", result.String(), "requests", run.requests)
+			if run.requests == 1 {
+				w.removeRun(run)
+			}
 		}
 	}))
 }
