Answer 'possibly run' for a cancelled task whose start got no answer

An answered stop only binds the incarnation that answered it.

Change: a cancelled run that has not begun, but of which a request to start got no answer, is reported as stopped instead of not run; the caller gets 504 and may send the job again.

--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -198,7 +198,7 @@
 	run := params.run
 	select {
 	case end := <-run.ended:
-		return resultOfEnd(end, false)
+		return run.resultOfEnd(end, false)
 	case <-run.stalled:
 		w.log.Warn("endpoint: run stalled, stopping it", "job", run.id.job, "index", run.id.index, "run", run.id.number)
 		return stalledResult(w.stopAndAwait(ctx, params))
@@ -232,23 +232,27 @@
 		}
 		select {
 		case end := <-run.ended:
-			return resultOfEnd(end, ctx.Err() != nil)
+			return run.resultOfEnd(end, ctx.Err() != nil)
 		case <-time.After(delay):
 		}
 	}
 	w.logError(w.loop.post(func(time.Time) { run.answered, run.pollsAtAnswer = true, w.pollsSent }))
 	w.pollOnce(context.Background(), 0)
-	return resultOfEnd(<-run.ended, ctx.Err() != nil)
+	return run.resultOfEnd(<-run.ended, ctx.Err() != nil)
 }
 
 // resultOfEnd returns the result that the agent reports for a run; cancelled means that its stop was requested.
-func resultOfEnd(end RunEnd, cancelled bool) RunResult {
+func (r *leasedRun) resultOfEnd(end RunEnd, cancelled bool) RunResult {
 	switch end {
 	case EndDone:
 		return NewRunResult(hibiscusstate.OutcomeFinished, nil, "")
 	case EndFailed:
 		return NewRunResult(hibiscusstate.OutcomeFailed, nil, "the task failed at the endpoint")
 	case EndNotBegun:
+		if cancelled && r.requests > r.answers {
+			// The next incarnation of the endpoint may still carry the start out.
+			return NewRunResult(hibiscusstate.OutcomeStopped, nil, "the task was stopped before its start was answered")
+		}
 		return NewNotRunResult(hibiscusstate.RejectionStopped)
 	case EndStopped, EndLapsed:
 		if cancelled {
