Poll a restarted endpoint when it announces itself, and after a repeated start

The starts were repeated and accepted, but both polls were still waiting for answers of the former incarnation, and ends come with polls. The stop of an unanswered start had sent a poll at once, as a side effect.

Change: the announcement of another incarnation, and a start that was accepted after a repeat, send one poll that is answered at once.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -339,6 +339,7 @@
 	}
 	if !run.begun {
 		run.recordBegin(w.pollsSent)
+		run.progressAt = now
 	}
 }
 
--- a/hibiscuscoordination/leased_incarnation.go
+++ b/hibiscuscoordination/leased_incarnation.go
@@ -1,6 +1,7 @@
 package hibiscuscoordination
 
 import (
+	"context"
 	"time"
 
 	"hibiscusrouter/hibiscusscheduling"
@@ -22,6 +23,8 @@
 				w.log.Info("endpoint: announcement kept until the current endpoint is gone", "endpoint", a.incarnation.id,
 					"born", a.incarnation.startMs, "service", a.service, "address", a.incarnation.address,
 					"current", w.incarnation.id, "current_born", w.incarnation.startMs)
+				// The polls under way may have been sent to an endpoint that is gone, and get no answer until their timeout.
+				w.goroutines.Go(func() { w.pollOnce(context.Background(), 0) })
 			}
 			w.candidate = a
 			return false
--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -65,6 +65,10 @@
 		}
 		switch w.requestStart(ctx, &params) {
 		case StartAccepted:
+			if params.requests > 1 {
+				// The polls under way may have been lost like the first request.
+				w.pollOnce(context.Background(), 0)
+			}
 			return w.awaitEnd(ctx, params)
 		case StartUnanswered:
 			w.log.Warn("endpoint: start got no answer, stopping the run", "job", id.job, "index", id.index, "run", id.number,
@@ -155,6 +159,7 @@
 			return true
 		}
 		run.requests++
+		run.requestedAt, run.progressAt = now, now
 		params.requests, params.timeout = run.requests, w.startTimeout()
 		params.request.leaseEndMs = w.renewLease(now)
 		return true
