Repeat a start only while its order, the endpoint's notice and its answers allow it

Found in the read-through of the repeat of starts: a repeated start was not checked against what the first one had been checked against. A start without an answer could be requested again up to 1.3 s later, after its permission or the notice of a leaving endpoint had ended, and it renewed the lease of an endpoint that had been silent for longer than leases are renewed. A task whose endpoint answers polls but no starts was held there for 1.3 s of the 1.5 s to its deadline.

Change: the limits are checked before each request, as the last step; starts are repeated for at most 0.4 s and not to a silent endpoint.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -82,9 +82,10 @@
 	initialEpochStep = 5000
 	// maxAnnouncementAge bounds the age of an announcement by the endpoint's clock; a higher one means that its clocks differ.
 	maxAnnouncementAge = 10 * time.Second
-	// startRetryDelay is the delay before a start without an answer is repeated, and maxStartRequests how often it is requested.
-	startRetryDelay  = 10 * time.Millisecond
-	maxStartRequests = 8
+	// startRetryDelay is the delay before a start without an answer is repeated, and maxRepeatTime for how long it is repeated. After that
+	// its task goes elsewhere, which takes a stop and a poll: tasks have 1.5 s to their deadline.
+	startRetryDelay = 10 * time.Millisecond
+	maxRepeatTime   = 400 * time.Millisecond
 	// maxStartAttempts bounds the run numbers that a start tries when the endpoint has seen higher ones.
 	maxStartAttempts = 12
 	// maxEndedRuns bounds the records of ended runs.
--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -20,9 +20,10 @@
 	epoch   uint64
 	// begun means that the start was accepted or that the run was listed.
 	begun bool
-	// requests and answers count the requests to start the run, and their answers.
-	requests int
-	answers  int
+	// requests and answers count the requests to start the run since firstRequestedAt, and their answers.
+	requests         int
+	answers          int
+	firstRequestedAt time.Time
 	// answered means that a start or the stop was answered, and pollsAtAnswer is the number of polls that had been sent by then.
 	answered      bool
 	pollsAtAnswer uint64
@@ -63,7 +64,7 @@
 		if err != nil {
 			return NewNotRunResult(hibiscusstate.RejectionEndpointDown)
 		}
-		switch w.requestStart(ctx, &params) {
+		switch w.requestStart(ctx, order, &params) {
 		case StartAccepted:
 			if params.requests > 1 {
 				// The polls under way may have been lost like the first request.
@@ -100,12 +101,12 @@
 // registerRun registers a run whose start is about to be requested.
 func (w *LeasedEndpoint) registerRun(id RunID, order hibiscusstate.Order) (startParams, error) {
 	params, err := runAndWait(w.loop, func(now time.Time) startParams {
-		if w.incarnation.id == "" || !w.stateKnown || w.runs[id] != nil || !w.startBy.IsZero() && !now.Before(w.startBy) {
+		if w.incarnation.id == "" || !w.stateKnown || w.runs[id] != nil || isPast(now, w.startBy) {
 			return startParams{}
 		}
 		run := &leasedRun{
 			id: id, startMs: w.incarnation.startMs, epoch: w.epoch, requests: 1, ended: make(chan RunEnd, 1), stalled: make(chan struct{}, 1),
-			expected: order.Expected(), requestedAt: now, progressAt: now,
+			expected: order.Expected(), firstRequestedAt: now, requestedAt: now, progressAt: now,
 		}
 		w.runs[id] = run
 		w.maxRunSlots = max(w.maxRunSlots, order.Resources().Slots())
@@ -121,7 +122,7 @@
 // requestStart requests the start of a run, and repeats the request while it gets no answer: an endpoint begins a run only once. A start
 // without an answer may take effect seconds later, also in the next incarnation, so its task is not placed elsewhere meanwhile.
 // StartUnanswered means that the run may be in progress.
-func (w *LeasedEndpoint) requestStart(ctx context.Context, params *startParams) StartResult {
+func (w *LeasedEndpoint) requestStart(ctx context.Context, order hibiscusstate.Order, params *startParams) StartResult {
 	for {
 		startCtx, cancel := context.WithTimeout(ctx, params.timeout)
 		result, clock := w.seams.start(startCtx, params.incarnation, params.request)
@@ -130,7 +131,7 @@
 		if result == StartAccepted || result != StartUnanswered && params.requests == 1 {
 			return result
 		}
-		if result != StartUnanswered || params.requests == maxStartRequests {
+		if result != StartUnanswered {
 			return StartUnanswered
 		}
 		select {
@@ -138,7 +139,7 @@
 			return StartUnanswered
 		case <-time.After(startRetryDelay):
 		}
-		if !w.prepareRepeat(params) {
+		if !w.prepareRepeat(params, order) {
 			return StartUnanswered
 		}
 		if params.begun {
@@ -148,11 +149,13 @@
 }
 
 // prepareRepeat prepares another request for the start of a run, unless the run has begun. It returns false if the start must not be
-// repeated, because the run has ended or the endpoint is gone or has restarted.
-func (w *LeasedEndpoint) prepareRepeat(params *startParams) bool {
+// repeated: the run has ended, the endpoint is gone, has restarted or is silent, the start has been repeated for too long, or is no longer
+// permitted.
+func (w *LeasedEndpoint) prepareRepeat(params *startParams, order hibiscusstate.Order) bool {
 	repeat, err := runAndWait(w.loop, func(now time.Time) bool {
 		run := params.run
-		if w.runs[run.id] != run || !w.stateKnown || w.incarnation != params.incarnation {
+		if w.runs[run.id] != run || !w.stateKnown || w.incarnation != params.incarnation || now.Sub(w.lastAnswerAt) > maxRenewalSilence ||
+			now.Sub(run.firstRequestedAt) >= maxRepeatTime || isPast(now, w.startBy) || isPast(now, order.StartBy()) {
 			return false
 		}
 		if params.begun = run.begun; params.begun {
@@ -167,6 +170,9 @@
 	return err == nil && repeat
 }
 
+// isPast reports whether a time limit has passed; the zero time is no limit.
+func isPast(now, limit time.Time) bool { return !limit.IsZero() && !now.Before(limit) }
+
 // recordStartResult records the result of a start request, and removes the run if it has certainly not begun.
 func (w *LeasedEndpoint) recordStartResult(run *leasedRun, result StartResult, clock int64) {
 	w.logError(w.loop.post(func(now time.Time) {
