Keep a run with a request under way beyond the lease, and count a new incarnation's lease from its sighting

- The expiry of the lease ended starts that had no answer.
Such a run now stays until a fenced list, or until its task is cancelled, as at its deadline, or 12 s have passed.

The end of a run that is known already no longer waits for a stop.

--- a/hibiscuscoordination/leased_endpoint.go
+++ b/hibiscuscoordination/leased_endpoint.go
@@ -16,20 +16,20 @@
 //
 // A poll renews the lease and lists the running and the ended runs. Polls are numbered as they are sent, because responses can
 // overtake each other: a run that a list lacks is known to have ended only if the poll was sent after the start of the run, or
-// its stop, had been answered. A start request without an answer may take effect seconds later. It is therefore stopped: an
-// endpoint that has answered the stop will not begin the run.
+// its stop, had been answered. A start request without an answer may take effect seconds later. It is repeated, and stopped in the
+// end: an endpoint that has answered the stop will not begin the run.
 //
 // An agent process that has just started has no record of the runs of its predecessor. It stops all runs that the endpoint
 // lists, and offers no capacity until a list is empty.
 //
-// A request without an answer may take effect up to 12 s later, when the endpoint has restarted under its name and lost the
+// A request without an answer may take effect up to maxRequestDelay later, when the endpoint has restarted under its name and lost the
 // record of the stop, or when another agent process has taken over, which has not reserved resources for the run. So all requests
 // carry an epoch, which rises with each agent process and each incarnation of the endpoint, and an endpoint ignores lower ones.
 //
 // A new incarnation has not seen any epoch, so until it has answered a request with the raised one it may still begin a run whose
-// start was sent to its predecessor. The end of an incarnation therefore ends only the runs whose start had been carried out by then.
-// The others stay registered until a list that was requested with a higher epoch than their start has them, in progress or ended, or
-// lacks them; or until the lease has expired, when no incarnation answers.
+// start was sent to its predecessor. The end of an incarnation, and of its lease, therefore ends only the runs of which no request is under
+// way. The others stay registered until a list that was requested with a higher epoch than their start has them, in progress or
+// ended, or lacks them; or, when no incarnation answers, until they are cancelled or no request can take effect any more.
 
 const (
 	// endpointLeaseDuration is the duration of a lease from each renewal; endpoints accept at most a second.
@@ -62,6 +62,8 @@
 	maxRenewalSilence = 600 * time.Millisecond
 	// pollRetryDelay is the delay before the next poll after one without an answer.
 	pollRetryDelay = 50 * time.Millisecond
+	// maxRequestDelay is how late a request without an answer may take effect.
+	maxRequestDelay = 12 * time.Second
 	// stopRetryDelay is the delay before a stop without an answer is repeated. Its task can't run anywhere until the stop is answered.
 	stopRetryDelay = 10 * time.Millisecond
 	// minStallTime, stallFactor and firstPercentDivisor bound the progress of a run. It is stalled when its percentage has not
@@ -266,7 +268,7 @@
 	if response.startMs != 0 && response.startMs != w.incarnation.startMs {
 		w.log.Warn("endpoint: response of another incarnation", "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
 			"answering", response.startMs)
-		w.endDeliveredRuns(now, poll.number, response.runs(), EvidenceRestarted)
+		w.endSettledRuns(now, poll.number, response.runs(), EvidenceRestarted)
 		restarted := NewEndpointIncarnation(w.incarnation.id, response.startMs, w.incarnation.address)
 		if w.candidate.incarnation.startMs == response.startMs {
 			w.adoptCandidate(now)
@@ -374,8 +376,8 @@
 	})
 }
 
-// pollFailed handles a poll that returned no list. If the endpoint is down, the runs that had begun have ended; all runs end when the
-// lease expires.
+// pollFailed handles a poll that returned no list. Runs of which no request is under way end at once if the endpoint is down, otherwise
+// when the lease expires.
 func (w *LeasedEndpoint) pollFailed(now time.Time, number uint64, err error) {
 	switch {
 	case errors.Is(err, ErrStaleEpoch):
@@ -384,7 +386,7 @@
 		w.log.Warn("endpoint: epoch raised, the endpoint has seen a higher one", "endpoint", w.incarnation.id, "epoch", w.epoch)
 	case errors.Is(err, ErrEndpointGone):
 		w.withdrawOffer(err.Error())
-		w.endDeliveredRuns(now, number, nil, EvidenceRefused)
+		w.endSettledRuns(now, number, nil, EvidenceRefused)
 		w.expireLease(now)
 		w.markGone(now)
 	case now.Sub(w.lastAnswerAt) > maxRenewalSilence:
@@ -395,12 +397,16 @@
 	}
 }
 
-// expireLease ends all runs if the lease has expired, and reports whether it has.
+// expireLease ends the runs that the expiry of the lease ends, and reports whether it has expired.
 func (w *LeasedEndpoint) expireLease(now time.Time) bool {
 	if !now.After(w.leaseEnd.Add(endpointLeaseDuration/50 + leaseSlack)) {
 		return false
 	}
-	w.endAllRuns(now)
+	for _, run := range w.runs {
+		if !run.isUnderWay() || run.cancelled || now.Sub(run.requestedAt) >= maxRequestDelay {
+			w.endRun(now, run, EndLapsed, EvidenceLeaseExpired)
+		}
+	}
 	return true
 }
 
@@ -437,30 +443,23 @@
 	}
 }
 
-// endDeliveredRuns ends the runs whose start had been carried out before the poll with the given number was sent: the incarnation that
-// did so is gone, unless the run is in the list of its successor.
-func (w *LeasedEndpoint) endDeliveredRuns(now time.Time, number uint64, listed map[RunID]bool, evidence EndEvidence) {
+// endSettledRuns ends the runs of which no request was under way any more when the poll with the given number was sent: the incarnation
+// that began them is gone, unless they are in the list of its successor.
+func (w *LeasedEndpoint) endSettledRuns(now time.Time, number uint64, listed map[RunID]bool, evidence EndEvidence) {
 	for id, run := range w.runs {
-		if run.isDelivered() && run.pollsAtAnswer < number && !listed[id] {
+		if !run.isUnderWay() && run.pollsAtAnswer < number && !listed[id] {
 			w.endRun(now, run, EndLapsed, evidence)
 		}
 	}
 }
 
-// endAllRuns ends all runs because the lease has expired.
-func (w *LeasedEndpoint) endAllRuns(now time.Time) {
-	for _, run := range w.runs {
-		w.endRun(now, run, EndLapsed, EvidenceLeaseExpired)
-	}
-}
-
 // endRun removes a run and sends its end to the runner.
 func (w *LeasedEndpoint) endRun(now time.Time, run *leasedRun, end RunEnd, evidence EndEvidence) {
 	if evidence != EvidenceListed {
 		w.log.Info("endpoint: run concluded to have ended", "job", run.id.job, "index", run.id.index, "run", run.id.number,
 			"end", end.String(), "evidence", evidence.String(), "endpoint", w.incarnation.id, "born", w.incarnation.startMs,
 			"requested_from", run.startMs, "run_epoch", run.epoch, "epoch", w.epoch, "answered", run.answered,
-			"delivered", run.isDelivered(),
+			"under_way", run.isUnderWay(),
 			"requested_ms", now.Sub(run.requestedAt).Milliseconds(), "last_list_ms", now.Sub(w.lastAnswerAt).Milliseconds())
 	}
 	w.removeRun(run)
--- a/hibiscuscoordination/leased_incarnation.go
+++ b/hibiscuscoordination/leased_incarnation.go
@@ -136,6 +136,9 @@
 	w.consecutiveStalls, w.suspension, w.suspendedUntil = 0, 0, time.Time{}
 	w.withdrawn = false
 	clear(w.orphans)
+	if len(w.runs) > 0 {
+		w.extendLease(now)
+	}
 	w.withdrawOffer("the endpoint has restarted")
 }
 
--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -24,6 +24,8 @@
 	requests         int
 	answers          int
 	firstRequestedAt time.Time
+	// cancelled means that the runner awaits the end only to free the resources: the task is not placed again.
+	cancelled bool
 	// answered means that a start or the stop was answered, and pollsAtAnswer is the number of polls that had been sent by then.
 	answered      bool
 	pollsAtAnswer uint64
@@ -43,10 +45,10 @@
 	r.begun, r.answered, r.pollsAtAnswer = true, true, pollsSent
 }
 
-// isDelivered reports whether all requests to start the run have been carried out, so that none has a later effect: they were answered,
-// or the only one without an answer is the one that began the run.
-func (r *leasedRun) isDelivered() bool {
-	return r.begun && r.requests <= max(r.answers, 1)
+// isUnderWay reports whether a request to start the run may still be carried out: one had no answer, and it is not the one that began the
+// run.
+func (r *leasedRun) isUnderWay() bool {
+	return !r.begun || r.requests > max(r.answers, 1)
 }
 
 // isSettledBy reports whether the run has ended, or will never begin, if the list of a poll lacks it: the poll was sent after the
@@ -230,7 +232,16 @@
 // the resources of the run stay reserved until its end is known.
 func (w *LeasedEndpoint) stopAndAwait(ctx context.Context, params startParams) RunResult {
 	run := params.run
+	unregister := context.AfterFunc(ctx, func() {
+		w.logError(w.loop.post(func(time.Time) { run.cancelled = true }))
+	})
+	defer unregister()
 	for {
+		select {
+		case end := <-run.ended:
+			return run.resultOfEnd(end, ctx.Err() != nil)
+		default:
+		}
 		stopCtx, cancel := context.WithTimeout(context.Background(), params.timeout)
 		err := w.seams.stop(stopCtx, params.incarnation, run.id, w.currentEpoch(params.request.epoch))
 		cancel()
--- a/hibiscuscoordination/leased_runs.go
+++ b/hibiscuscoordination/leased_runs.go
@@ -31,7 +31,7 @@
 type RunEnd int
 
 // The ends. EndLapsed is an end that neither the task nor the agent caused, such as the expiry of the lease. EndNotBegun
-// means that the start request certainly has no effect.
+// means that the start has no effect in the current incarnation of the endpoint.
 const (
 	EndDone     RunEnd = iota // done
 	EndFailed                 // failed
@@ -44,7 +44,8 @@
 type EndEvidence int
 
 // The evidence. EvidenceListed is the endpoint's own list of ends, EvidenceMissing a list without the run, EvidenceRestarted the start of
-// another incarnation, EvidenceRefused a refused connection, and EvidenceLeaseExpired silence until the lease has expired.
+// another incarnation, EvidenceRefused a refused connection or a
+// response of another ID, and EvidenceLeaseExpired silence until the lease has expired.
 const (
 	EvidenceListed       EndEvidence = iota // listed
 	EvidenceMissing                         // missing_from_list
@@ -248,7 +249,7 @@
 }
 
 // NewLeasedEndpointSeams returns the callbacks. start, stop and poll send requests to the endpoint; poll returns ErrEndpointGone
-// when no task runs there, and ErrStaleEpoch when the endpoint has seen a higher epoch. offer and leave report to the agent
+// when the endpoint is down, and ErrStaleEpoch when the endpoint has seen a higher epoch. offer and leave report to the agent
 // which resources the endpoint offers, and that it announced age ago that it accepts no new tasks and stays for remaining.
 func NewLeasedEndpointSeams(
 	start func(ctx context.Context, incarnation EndpointIncarnation, r StartRequest) (result StartResult, clock int64),
