Never report a start without an answer as not run

Change: the rule for cancelled runs holds for all: while a request to start it has no answer, a run that is not listed is reported as stopped. Its task runs again as after a lost run. In starts_are_repeated.golden the results 'pending stopped', which is not run, become 'stopped'.

--- a/hibiscuscoordination/leased_run.go
+++ b/hibiscuscoordination/leased_run.go
@@ -271,7 +271,7 @@
 	case EndFailed:
 		return NewRunResult(hibiscusstate.OutcomeFailed, nil, "the task failed at the endpoint")
 	case EndNotBegun:
-		if cancelled && r.requests > r.answers {
+		if r.requests > r.answers {
 			// The next incarnation of the endpoint may still carry the start out.
 			return NewRunResult(hibiscusstate.OutcomeStopped, nil, "the task was stopped before its start was answered")
 		}
