Let the soak crash workers that carry out old requests after their restart

The soak's only restart of a worker was an instant one without a request under way, so it never played what the users saw: a next incarnation that carries out a start meant for the former one, while the entry places the task again.

- worker_crashes: requests are left unanswered for 0 to 139 ms, the worker is down for 5 ms to 1 s, short times being the more likely, silent or with its port closed (a closed port, not an accepted connection, is what an agent takes for a refusal); then it restarts, carries out what was held and announces itself at once.
A worker that is down sends no announcements.
- cut_worker_crashes: the same up to 2.5 s before or after its VM is cut off from the entries and the store for 0.1 to 3 s.
The proxies find the connections of one agent by the sockets of its process, because all processes connect from the same address.
A connection that an agent opens during the cut is not cut.
- The new kinds have a series and a generator of their own, which NewOptions leaves out: the plans of regressionSeeds and the existing lines of plan.golden are the same as before.

The plan of a seed is fixed, the times of real processes are not: one run that passes shows little.

--- a/cmd/hibiscussoak/main.go
+++ b/cmd/hibiscussoak/main.go
@@ -22,6 +22,7 @@
 	Entries int           `long:"entries" default:"3" value-name:"N" description:"number of entry processes"`
 	Agents  int           `long:"agents" default:"4" value-name:"N" description:"number of agent processes, each with a worker"`
 	Clients int           `long:"clients" default:"10" value-name:"N" description:"number of callers"`
+	Faults  string        `long:"faults" default:"all" choice:"all" choice:"mixed" choice:"restarts" description:"restarts are of workers"`
 	Logs    string        `long:"logs" value-name:"DIR" description:"folder for the logs of runs with violated invariants"`
 	Quiet   bool          `long:"quiet" description:"print only the reports"`
 }
@@ -66,7 +67,11 @@
 			fmt.Println(line)
 		}
 	}
-	report, err := hibiscussoak.Run(ctx, hibiscussoak.NewOptions(o.Binary, dir, seed, o.Time, out).WithSize(o.Entries, o.Agents, o.Clients))
+	series := map[string]hibiscussoak.Series{
+		"mixed": hibiscussoak.SeriesMixed, "restarts": hibiscussoak.SeriesRestarts, "all": hibiscussoak.SeriesAll,
+	}
+	report, err := hibiscussoak.Run(ctx, hibiscussoak.NewOptions(o.Binary, dir, seed, o.Time, out).
+		WithSize(o.Entries, o.Agents, o.Clients).WithSeries(series[o.Faults]))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 		return false
--- a/hibiscussoak/deployment.go
+++ b/hibiscussoak/deployment.go
@@ -84,6 +84,7 @@
 	name         string
 	domain       string
 	leaving      atomic.Bool
+	crashing     atomic.Bool
 	process      *process
 	worker       *hibiscusplatformstandin.Worker
 	workerProxy  *proxy
@@ -273,8 +274,11 @@
 	}
 }
 
-// announceOnce sends an announcement of a worker and reports whether the agent has acknowledged it.
+// announceOnce sends an announcement of a worker, unless it is down, and reports whether the agent has acknowledged it.
 func (d *deployment) announceOnce(ctx context.Context, n *workerNode) bool {
+	if n.worker.Down() {
+		return false
+	}
 	call, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	status, err := hibiscusplatformstandin.Announce(call, d.client, n.agentAddress, "i-"+n.name, n.worker.Announcement("ready"))
--- a/hibiscussoak/enum_string.go
+++ b/hibiscussoak/enum_string.go
@@ -53,12 +53,14 @@
 	_ = x[faultEvacuate-20]
 	_ = x[faultWorkerLeaves-21]
 	_ = x[faultHostile-22]
-	_ = x[faultKindCount-23]
+	_ = x[faultWorkerCrashes-23]
+	_ = x[faultCutWorkerCrashes-24]
+	_ = x[faultKindCount-25]
 }
 
-const _faultKind_name = "killkill_manystoppausehangupreset_callersdelay_sessionreset_sessioncut_sessionone_way_sessionstore_silentstore_refusedstore_historyworker_cutworker_resetworker_hangsworker_lateworker_loses_looksworker_restartsconfigureevacuateworker_leaveshostilenone"
+const _faultKind_name = "killkill_manystoppausehangupreset_callersdelay_sessionreset_sessioncut_sessionone_way_sessionstore_silentstore_refusedstore_historyworker_cutworker_resetworker_hangsworker_lateworker_loses_looksworker_restartsconfigureevacuateworker_leaveshostileworker_crashescut_worker_crashesnone"
 
-var _faultKind_index = [...]uint8{0, 4, 13, 17, 22, 28, 41, 54, 67, 78, 93, 105, 118, 131, 141, 153, 165, 176, 194, 209, 218, 226, 239, 246, 250}
+var _faultKind_index = [...]uint16{0, 4, 13, 17, 22, 28, 41, 54, 67, 78, 93, 105, 118, 131, 141, 153, 165, 176, 194, 209, 218, 226, 239, 246, 260, 278, 282}
 
 func (i faultKind) String() string {
 	idx := int(i) - 0
--- a/hibiscussoak/faults.go
+++ b/hibiscussoak/faults.go
@@ -40,6 +40,8 @@
 	faultEvacuate                            // evacuate
 	faultWorkerLeaves                        // worker_leaves
 	faultHostile                             // hostile
+	faultWorkerCrashes                       // worker_crashes
+	faultCutWorkerCrashes                    // cut_worker_crashes
 	faultKindCount                           // none
 )
 
@@ -48,8 +50,9 @@
 	oneInBurst  = 2
 	maxBurstGap = 600 * time.Millisecond
 	maxGap      = 2500 * time.Millisecond
-	// maxCapacityGap is the maximum time between two faults of the second series, whose kinds begin with faultEvacuate. They have a
-	// series of their own, so that plans of earlier seeds keep their other faults.
+	// maxCapacityGap is the maximum time between two faults of the second series, whose kinds begin with faultEvacuate, and of the
+	// third, whose kinds begin with faultWorkerCrashes. They have series of their own, so that plans of earlier seeds keep their
+	// other faults.
 	maxCapacityGap   = 4 * time.Second
 	capacitySequence = 1 << 32
 	// minFaultDuration and maxFaultDuration bound the duration of a fault. The maximum is above every time without
@@ -78,6 +81,8 @@
 	duration time.Duration
 	// isolated reports whether no other fault is active around that time.
 	isolated bool
+	// crash is the course of a crash, the zero value for other kinds.
+	crash crash
 }
 
 // String returns the fault as a line of a plan.
@@ -86,12 +91,21 @@
 	if f.isolated {
 		suffix = " calm"
 	}
+	if f.crash != (crash{}) {
+		suffix += ", " + f.crash.String()
+	}
 	return fmt.Sprintf("%6d ms %s at %d for %d ms%s", f.at.Milliseconds(), f.kind, f.target, f.duration.Milliseconds(), suffix)
 }
 
 // newPlan returns the faults of a seed; all of them end within the length of the run.
-func newPlan(seed uint64, length time.Duration) []fault {
+func newPlan(seed uint64, length time.Duration, s Series) []fault {
+	if s == SeriesRestarts {
+		return newRestartSeries(seed, length, maxBurstGap)
+	}
 	plan := newCapacitySeries(seed, length)
+	if s == SeriesAll {
+		plan = append(plan, newRestartSeries(seed, length, maxCapacityGap)...)
+	}
 	r := rand.New(rand.NewPCG(seed, 0))
 	for at := warmUp; ; {
 		f := fault{
@@ -121,7 +135,7 @@
 	var series []fault
 	for at := warmUp; ; at += time.Duration(r.Int64N(int64(maxCapacityGap))) {
 		f := fault{
-			at: at, kind: faultEvacuate + faultKind(r.IntN(int(faultKindCount-faultEvacuate))), target: r.IntN(1000),
+			at: at, kind: faultEvacuate + faultKind(r.IntN(int(faultWorkerCrashes-faultEvacuate))), target: r.IntN(1000),
 			duration: minFaultDuration + time.Duration(r.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		}
 		if f.kind != faultHostile {
@@ -215,6 +229,8 @@
 		d.leave(ctx, worker, x.duration)
 	case faultHostile:
 		d.sendHostile(ctx, x.target, x.duration)
+	case faultWorkerCrashes, faultCutWorkerCrashes:
+		d.crashAndRestart(ctx, worker, x.crash)
 	case faultKindCount:
 	}
 }
--- a/hibiscussoak/places.go
+++ b/hibiscussoak/places.go
@@ -131,6 +131,8 @@
 		return names
 	case faultDelaySession, faultResetSession, faultSilentSession, faultOneWaySession, faultStoreSilent, faultStoreRefused:
 		return []string{entry}
+	case faultCutWorkerCrashes:
+		return []string{d.workers[x.target%len(d.workers)].process.name}
 	default:
 		return nil
 	}
--- a/hibiscussoak/process.go
+++ b/hibiscussoak/process.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -100,6 +102,31 @@
 	return p.incarnation, p.cmd != nil && !p.exitExpected && !p.paused
 }
 
+// owns reports whether an address is the local end of a TCP connection of the running child.
+func (p *process) owns(address *net.TCPAddr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
+	// After an error the child owns nothing: it has just exited.
+	table, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", p.cmd.Process.Pid))
+	descriptors, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid))
+	sockets := map[string]bool{}
+	for _, path := range descriptors {
+		if target, err := os.Readlink(path); err == nil {
+			sockets[target] = true
+		}
+	}
+	for line := range strings.Lines(string(table)) {
+		f := strings.Fields(line)
+		if len(f) > 9 && strings.HasSuffix(f[1], fmt.Sprintf(":%04X", address.Port)) && sockets["socket:["+f[9]+"]"] {
+			return true
+		}
+	}
+	return false
+}
+
 // stop sends SIGTERM, kills the process after grace, and returns how long it took and whether the process was killed.
 func (p *process) stop(grace time.Duration) (took time.Duration, killed bool) {
 	p.mu.Lock()
--- a/hibiscussoak/proxy.go
+++ b/hibiscussoak/proxy.go
@@ -56,13 +56,13 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, server: server, connections: map[*proxyConnection]bool{}}
-	p.goroutines.Go(p.accept)
+	p.goroutines.Go(func() { p.accept(l) })
 	return p, nil
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -145,6 +145,37 @@
 	p.mode = mode
 }
 
+// dropFrom drops the bytes of the connections that a process has open, and resets them after a time.
+func (p *proxy) dropFrom(q *process, duration time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.connections {
+		if address, ok := c.client.RemoteAddr().(*net.TCPAddr); ok && q.owns(address) {
+			c.dropping = modeDropAll
+			time.AfterFunc(duration, func() {
+				reset(c.client)
+				reset(c.server)
+			})
+		}
+	}
+}
+
+// closeListener resets all open connections and refuses new ones until reopen.
+func (p *proxy) closeListener() {
+	p.listener.Close()
+	p.resetAll()
+}
+
+// reopen listens again at the address of the proxy.
+func (p *proxy) reopen() error {
+	l, err := net.Listen("tcp", p.listener.Addr().String())
+	if err == nil {
+		p.listener = l
+		p.goroutines.Go(func() { p.accept(l) })
+	}
+	return err
+}
+
 // resetAll resets all open connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
--- a/hibiscussoak/soak.go
+++ b/hibiscussoak/soak.go
@@ -18,9 +18,20 @@
 	entries  int
 	agents   int
 	clients  int
+	series   Series
 	out      func(line string)
 }
 
+// Series selects the faults of a run.
+type Series int
+
+// The series. SeriesMixed has all faults but the crashes of workers, SeriesRestarts has only these, in quick succession.
+const (
+	SeriesMixed Series = iota
+	SeriesRestarts
+	SeriesAll
+)
+
 const (
 	defaultEntries = 3
 	defaultAgents  = 4
@@ -46,6 +57,12 @@
 	return o
 }
 
+// WithSeries sets the faults.
+func (o Options) WithSeries(s Series) Options {
+	o.series = s
+	return o
+}
+
 // Report is the result of a run.
 type Report struct {
 	violations []string
@@ -84,7 +101,7 @@
 	}
 	d.awaitStart(ctx)
 
-	plan := newPlan(o.seed, o.duration)
+	plan := newPlan(o.seed, o.duration, o.series)
 	c.logf("seed %d: %d faults in %v, %d entries, %d agents, %d clients", o.seed, len(plan), o.duration, o.entries, o.agents, o.clients)
 	clientCtx, stopClients := context.WithTimeout(ctx, o.duration)
 	defer stopClients()
--- a/hibiscussoak/soak_test.go
+++ b/hibiscussoak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,9 @@
 	buildTimeout = 2 * time.Minute
 	// shortRun is how long the run in CI injects faults.
 	shortRun = 10 * time.Second
+	// shortRestartRun is how long the run of crashes in CI injects them.
+	shortRestartRun = 15 * time.Second
+	restartSeed     = 105
 )
 
 // regressionSeeds are the seeds that have violated an invariant, each with the cause and the duration of the run that did.
@@ -49,17 +53,7 @@
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
 	runSeed := func(seed uint64, duration time.Duration) {
-		report, err := Run(context.Background(), NewOptions(binary, t.TempDir(), seed, duration, func(line string) { t.Log(line) }))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("seed %d: %s", seed, report)
-		if report.Jobs() == 0 || report.counts["answers 200 completed"] == 0 {
-			t.Errorf("seed %d: nothing was served", seed)
-		}
-		for _, violation := range report.Violations() {
-			t.Errorf("seed %d: %s", seed, violation)
-		}
+		checkRun(t, NewOptions(binary, t.TempDir(), seed, duration, func(line string) { t.Log(line) }))
 	}
 	runSeed(1, shortRun)
 	for _, s := range regressionSeeds {
@@ -68,12 +62,45 @@
 	}
 }
 
+// TestSoakRestarts guards against a task that is placed again because its worker has restarted, while the next incarnation of that
+// worker carries out a start that was meant for the former one: it makes a short run of the real programs in which workers crash. The
+// workers have capacity to spare, so that such a task begins elsewhere at once.
+func TestSoakRestarts(t *testing.T) {
+	o := NewOptions(buildBinary(t), t.TempDir(), restartSeed, shortRestartRun, func(line string) { t.Log(line) })
+	checkRun(t, o.WithSize(defaultEntries, 2*defaultAgents, defaultClients).WithSeries(SeriesRestarts))
+}
+
+// checkRun makes a run, in which jobs must be served and no invariant violated.
+func checkRun(t *testing.T, o Options) {
+	t.Helper()
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d: %s", o.seed, report)
+	if report.Jobs() == 0 || report.counts["answers 200 completed"] == 0 {
+		t.Errorf("seed %d: nothing was served", o.seed)
+	}
+	for _, violation := range report.Violations() {
+		t.Errorf("seed %d: %s", o.seed, violation)
+	}
+}
+
 // TestPlan guards against a plan that depends on anything but its seed, and against stops that count as isolated and are not.
 func TestPlan(t *testing.T) {
 	lines := []string{}
-	for _, f := range newPlan(7, 20*time.Second) {
+	for _, f := range newPlan(7, 20*time.Second, SeriesMixed) {
 		lines = append(lines, f.String())
 	}
+	for _, f := range newPlan(7, 12*time.Second, SeriesRestarts) {
+		lines = append(lines, f.String())
+	}
+	kept := slices.DeleteFunc(newPlan(7, 20*time.Second, SeriesAll), func(f fault) bool { return f.kind >= faultWorkerCrashes })
+	for i, f := range newPlan(7, 20*time.Second, SeriesMixed) {
+		if f.String() != kept[i].String() {
+			t.Errorf("%v became %v beside crashes", f, kept[i])
+		}
+	}
 	stops := []fault{{at: 2 * time.Second, kind: faultStop}, {at: 20 * time.Second, kind: faultStop}, {at: 24 * time.Second, kind: faultKill}}
 	for i := range stops {
 		lines = append(lines, fmt.Sprintf("isolated %t", isIsolated(stops, i)))
