--- a/hibiscusstandin/network.go
+++ b/hibiscusstandin/network.go
@@ -15,7 +15,7 @@
 // between two of them (Hold). After Silence, Cut and Disconnect, new connections work.
 
 // ErrRefused means that there is no listener on an address or that it is blocked.
-var ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "dial")
+var ErrRefused error = syscall.ECONNREFUSED
 
 // MemoryNetwork is safe for concurrent use.
 type MemoryNetwork struct {
