--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -73,7 +73,7 @@
 		length  = 95 * time.Second
 		ends    = 3
 	)
-	w, err := newWorld(rec, entryCount, agents)
+	w, err := newWorld(rec, agents)
 	defer w.close()
 	if err != nil {
 		return false, err
@@ -118,7 +118,7 @@
 		longDeadline = 5 * time.Second
 		share        = 4
 	)
-	w, err := newWorld(rec, entryCount, 11)
+	w, err := newWorld(rec, 11)
 	defer w.close()
 	if err != nil {
 		return false, err
@@ -179,7 +179,7 @@
 		patience     = 45 * time.Second
 		share        = 4
 	)
-	w, err := newWorld(rec, entryCount, 11)
+	w, err := newWorld(rec, 11)
 	defer w.close()
 	if err != nil {
 		return false, err
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -23,7 +23,7 @@
 		os.Exit(exitNotRun)
 	}
 	play := map[string]func(*record, bool) (bool, error){
-		"small": playSmallTasks, "long": playLongTasks, "impossible": playImpossibleJobs,
+		"small": playSmallTasks, "long": playLongTasks, "impossible": playImpossibleJobs, "late": playLateStart,
 	}[os.Args[1]]
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
 	if play == nil || err != nil {
--- a/review/second/worker.go
+++ b/review/second/worker.go
@@ -28,6 +28,7 @@
 	starts   int
 	peak     int
 	changed  chan struct{}
+	faults   *workerFaults
 }
 
 type run struct {
@@ -38,9 +39,9 @@
 	timer    *time.Timer
 }
 
-func newWorker(id, address string) *worker {
+func newWorker(id, address string, faults *workerFaults) *worker {
 	w := &worker{
-		id: id, address: address, began: time.Now(), born: time.Now().UnixMilli(),
+		id: id, address: address, faults: faults, began: time.Now(), born: time.Now().UnixMilli(),
 		runs: map[string]*run{}, over: map[string]int{}, changed: make(chan struct{}),
 	}
 	go w.watchLease()
@@ -85,6 +86,11 @@
 		w.answer(rw, http.StatusConflict, map[string]any{"Reason": "fence"})
 		return
 	}
+	if r.URL.Path == "/run-start" && w.faults.keepLate(w, c) {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	w.token = c.FencingToken
 	w.mu.Unlock()
 	switch r.URL.Path {
@@ -141,8 +147,10 @@
 	r := &run{task: c.Task, number: c.Run, began: time.Now(), duration: d}
 	w.runs[c.Task] = r
 	w.starts++
+	w.faults.begin(w.id, c.Task)
 	w.peak = max(w.peak, len(w.runs))
-	r.timer = time.AfterFunc(d, func() { w.end(r, "done") })
+	how := w.faults.endOf(c.Task, c.Spec)
+	r.timer = time.AfterFunc(d, func() { w.end(r, how) })
 	return ""
 }
 
@@ -158,6 +166,7 @@
 	}
 	r.timer.Stop()
 	delete(w.runs, r.task)
+	w.faults.end(w.id, r.task)
 	w.over[r.task] = max(w.over[r.task], r.number)
 	w.lastEnd++
 	w.ended = append(w.ended, []any{w.lastEnd, r.task, r.number, how, ""})
@@ -165,6 +174,20 @@
 	w.changed = make(chan struct{})
 }
 
+// crash loses all runs and the memory of the worker.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		r.timer.Stop()
+		w.faults.end(w.id, r.task)
+	}
+	w.runs, w.over, w.ended, w.lastEnd, w.token, w.lease, w.sequence = map[string]*run{}, map[string]int{}, nil, 0, 0, 0, 0
+	w.began, w.born = time.Now(), time.Now().UnixMilli()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
 func (w *worker) stop(c call) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -176,6 +176,7 @@
 	dir     string
 	octet   int
 	rec     *record
+	faults  *workerFaults
 	store   *hibiscusplatformstandin.Store
 	entries []*process
 	agents  []*process
@@ -183,7 +184,8 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	client  *http.Client
-	servers []*http.Server
+	mu      sync.Mutex
+	servers map[string]*http.Server
 	done    sync.WaitGroup
 }
 
@@ -191,12 +193,13 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", w.octet, group, host, port)
 }
 
-func newWorld(rec *record, entries, agents int) (*world, error) {
+func newWorld(rec *record, agents int) (*world, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, rec: rec, store: hibiscusplatformstandin.NewStore()}
+	w := &world{dir: dir, rec: rec, faults: newWorkerFaults(rec), store: hibiscusplatformstandin.NewStore(),
+		servers: map[string]*http.Server{}}
 	w.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	for range 50 {
@@ -212,11 +215,11 @@
 		return w, err
 	}
 	var seeds []string
-	for i := range entries {
+	for i := range entryCount {
 		seeds = append(seeds, strconv.Quote(w.address(1, i+1, 8166)))
 	}
 	seedList := "[" + strings.Join(seeds[:min(3, len(seeds))], ", ") + "]"
-	for i := range entries {
+	for i := range entryCount {
 		p, err := w.process("entry", i, entryMemoryMB, fmt.Sprintf("caller_address: %q\nready_address: %q\nsession_address: %q\n"+
 			"platform_address: %q\nfailure_domain: zone-%d\nseed_entries: %s\nmemory_mb: %d\ndrain_ms: 2500\nfar_factor: 1.5\n",
 			w.address(1, i+1, 8161), w.address(1, i+1, 8167), w.address(1, i+1, 8166), w.address(9, 1, 8169), i, seedList, entryMemoryMB))
@@ -226,14 +229,14 @@
 		w.entries = append(w.entries, p)
 	}
 	for i := range agents {
-		wk := newWorker(fmt.Sprintf("i-%08x", i+1), w.address(3, i+1, 8165))
+		wk := newWorker(fmt.Sprintf("i-%08x", i+1), w.address(3, i+1, 8165), w.faults)
 		if err := w.serve(wk.address, wk); err != nil {
 			return w, err
 		}
 		w.workers = append(w.workers, wk)
 		agent := w.address(2, i+1, 8166)
 		p, err := w.process("agent", i, agentMemoryMB, fmt.Sprintf("endpoint_address: %q\nplatform_address: %q\nfailure_domain: zone-%d\n"+
-			"seed_entries: %s\nmemory_mb: %d\n", agent, w.address(9, 1, 8169), i%entries, seedList, agentMemoryMB))
+			"seed_entries: %s\nmemory_mb: %d\n", agent, w.address(9, 1, 8169), i%entryCount, seedList, agentMemoryMB))
 		if err != nil {
 			return w, err
 		}
@@ -263,9 +266,36 @@
 	if err != nil {
 		return err
 	}
+	w.serveOn(address, l, handler)
+	return nil
+}
+
+func (w *world) serveOn(address string, l net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
-	w.servers = append(w.servers, server)
+	w.mu.Lock()
+	w.servers[address] = server
+	w.mu.Unlock()
 	w.done.Go(func() { _ = server.Serve(l) })
+}
+
+// restartWorker crashes a worker for a time, in which connections to it are refused. It is back under its id with an empty memory, and
+// carries out a late start first.
+func (w *world) restartWorker(wk *worker, down time.Duration, late call) error {
+	w.mu.Lock()
+	server := w.servers[wk.address]
+	w.mu.Unlock()
+	_ = server.Close()
+	wk.crash()
+	time.Sleep(down)
+	wk.crash()
+	l, err := net.Listen("tcp", wk.address)
+	if err != nil {
+		return err
+	}
+	// A lease is at most a second from the arrival of its request.
+	late.DeadlineMs = wk.clock() + 1000
+	w.rec.printf("%s is back, born %d, and carries out the start of %s run %d: %q", wk.id, wk.born, late.Task, late.Run, wk.start(late))
+	w.serveOn(wk.address, l, wk)
 	return nil
 }
 
