--- a/review/standins-3/campaign.go
+++ b/review/standins-3/campaign.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hibiscusrouter/platform/hibiscusplatformstandin"
@@ -42,6 +43,10 @@
 
 	mu   sync.Mutex
 	runs []*run
+	// cutOff is the entry that is cut off from all machines but its clients, nil for none.
+	cutOff atomic.Pointer[process]
+	// proxied means that the sessions of entries and their connections to the store go through proxies.
+	proxied bool
 	// closing means that no process may be started any more.
 	closing bool
 }
@@ -53,6 +58,7 @@
 	role    string
 	address string
 	memory  int
+	number  int
 	cmd     *exec.Cmd
 	done    chan struct{}
 	// expected is set before the case ends the process.
@@ -135,7 +141,7 @@
 func (c *campaign) deploy(ctx context.Context, entries, agents int) error {
 	c.configure(1, checksRoute)
 	for i := range min(entries, 3) {
-		c.seeds = append(c.seeds, c.at(1, i+1, 8166))
+		c.seeds = append(c.seeds, c.sessionAddress(i+1))
 	}
 	for i := range agents {
 		w := newWorker(c, i+1, c.at(3, i+1, 8165), c.at(2, i+1, 8166))
@@ -150,7 +156,18 @@
 	for i := range entries {
 		c.entries = append(c.entries, &process{
 			c: c, name: fmt.Sprintf("entry-%d", i+1), role: "entry", address: fmt.Sprintf("127.%d.1.%d", c.octet, i+1), memory: entryMemory,
+			number: i + 1,
 		})
+		if !c.proxied {
+			continue
+		}
+		err := c.addProxy(c.sessionAddress(i+1), c.at(1, i+1, 8166), c.entries[i])
+		if err == nil {
+			err = c.addProxy(c.at(9, 10+i+1, 8169), c.at(9, 1, 8169), c.entries[i])
+		}
+		if err != nil {
+			return err
+		}
 	}
 	for _, p := range append(append([]*process{}, c.entries...), c.agents...) {
 		if err := p.start(); err != nil {
@@ -164,6 +181,14 @@
 	return c.awaitReady(ctx, 10*time.Second)
 }
 
+// sessionAddress returns the address at which other processes reach the sessions of an entry.
+func (c *campaign) sessionAddress(number int) string {
+	if c.proxied {
+		return c.at(12, number, 8166)
+	}
+	return c.at(1, number, 8166)
+}
+
 // awaitReady waits until all entries report that they are ready.
 func (c *campaign) awaitReady(ctx context.Context, limit time.Duration) error {
 	end := time.Now().Add(limit)
@@ -198,13 +223,18 @@
 // settings returns the settings as the templates of the deploy file give them.
 func (p *process) settings() string {
 	seeds, _ := json.Marshal(p.c.seeds)
+	store := p.c.at(9, 1, 8169)
+	if p.c.proxied && p.role == "entry" {
+		store = p.c.at(9, 10+p.number, 8169)
+	}
 	common := fmt.Sprintf("platform_address: %q\nfailure_domain: \"a\"\nshared_key: \"sessions of one deployment\"\nseed_entries: %s\n"+
-		"memory_mb: %d\nstop_grace_s: 6\n", p.c.at(9, 1, 8169), seeds, p.memory)
+		"memory_mb: %d\nstop_grace_s: 6\n", store, seeds, p.memory)
 	if p.role == "agent" {
 		return fmt.Sprintf("endpoint_address: \"%s:8166\"\nmetrics_address: \"%s:7721\"\n", p.address, p.address) + common
 	}
 	return fmt.Sprintf("caller_address: \"%s:8161\"\nready_address: \"%s:8167\"\nsession_address: \"%s:8166\"\nmetrics_address: \"%s:7720\"\n",
-		p.address, p.address, p.address, p.address) + common + "drain_ms: 2500\nfar_factor: 1.5\n"
+		p.address, p.address, p.address, p.address) + common + "drain_ms: 2500\nfar_factor: 1.5\n" +
+		fmt.Sprintf("advertised_address: %q\n", p.c.sessionAddress(p.number))
 }
 
 func (p *process) start() error {
--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -35,6 +35,7 @@
 	cases["last-queue-removed"] = lastQueueRemoved
 	cases["agent-memory"] = memoryOfAgents
 	cases["odd-heartbeat"] = oddHeartbeat
+	cases["cancel-at-cut-off"] = cancelAtCutOff
 }
 
 // submit sends a job as a client does, again after no answer, 502 or 504, and returns the last answer. Retries reach other nodes.
@@ -117,6 +118,42 @@
 	return len(late) > 0, nil
 }
 
+// cancelAtCutOff cancels a job of entry 1 at entry 2, which has been cut off from all other machines of the system for 6 s.
+func cancelAtCutOff(ctx context.Context, c *campaign, trouble bool) (bool, error) {
+	// The workers have room for 30 tasks, so that the last 10 tasks start when the first ones end.
+	const before, cut, tasks, run, deadline = 6 * time.Second, 11 * time.Second, 40, 3500 * time.Millisecond, 12 * time.Second
+	c.proxied = true
+	if err := c.deploy(ctx, 3, 3); err != nil {
+		return false, err
+	}
+	if trouble {
+		c.note("entry-2 is cut off from the store, the other entries and the agents")
+		c.cutOff.Store(c.entries[1])
+		time.AfterFunc(cut, func() {
+			c.cutOff.Store(nil)
+			c.note("entry-2 is connected again")
+		})
+	}
+	time.Sleep(before)
+	id := newID()
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		body := job(tasks, 6200, 64, strconv.FormatInt(run.Milliseconds(), 10), run.String())
+		c.newClient("client").send("POST", c.entries[0], id, body, deadline)
+	})
+	time.Sleep(200 * time.Millisecond)
+	a := c.newClient("canceller").send("DELETE", c.entries[1], id, "", sheetDeadline)
+	if a.status/100 != 2 && a.status != http.StatusGone {
+		c.note("the cancel was not acknowledged")
+		caller.Wait()
+		return false, nil
+	}
+	caller.Wait()
+	late := c.started(id, a.at.Add(cancelBound))
+	c.note("%d starts of the job later than %v after its cancelling was acknowledged", len(late), cancelBound)
+	return len(late) > 0, nil
+}
+
 const (
 	checksRoute = `{"Name":"checks","Host":"` + host + `","PathPrefix":"` + prefix + `","Type":"non_idempotent","TimeoutMs":15000,` +
 		`"TargetDurationMs":60,"Priority":0,"Service":"` + serviceName + `","MaxAttempts":2,"Stretch":1.6}`
